Set down the layout and one path through separate processes

Cause: the project starts empty; everything later needs fixed folders, core types and a path from caller to backend server.

Change: schemas for messages and settings with generated code, attrs records with a protobuf codec, the fleet state with singledispatch changes, a Sync stream that brings it to entry VMs with proof of freshness, announcements with a lease, an HTTP proxy, an administration API and a daemon.

--- /dev/null
+++ b/medlarhollow/__init__.py
@@ -0,0 +1,1 @@
+"""Global traffic steering: entry VMs, shared state and its replicas."""
--- /dev/null
+++ b/medlarhollow/agreement/__init__.py
@@ -0,0 +1,6 @@
+"""Consensus between the control replicas."""
+
+from .ledger import Ledger
+from .replica import Replica
+
+__all__ = ["Ledger", "Replica"]
--- /dev/null
+++ b/medlarhollow/configuration/accounts.py
@@ -0,0 +1,68 @@
+"""Changes of client accounts and their keys."""
+
+import attrs
+from result import Ok
+
+from ..errors import fail
+from ..messages.records import DeleteAccount
+from ..messages.records import ErrorKind
+from ..messages.records import IssueKey
+from ..messages.records import PutAccount
+from ..messages.records import RevokeKey
+from .apply import apply
+from .names import check_name
+
+__all__ = []
+
+_HASH_BYTES = 32
+
+
+@apply.register
+def _put_account(change: PutAccount, state, now):
+    account = change.account
+    if account is None:
+        return fail(ErrorKind.BAD_REQUEST, "an account is needed")
+    name = check_name("account", account.name)
+    if name.is_err():
+        return name
+    if not 0 < account.rate_per_s < float("inf"):
+        return fail(ErrorKind.BAD_REQUEST, "rate_per_s must be above 0")
+    if not 1 <= account.burst < float("inf"):
+        return fail(ErrorKind.BAD_REQUEST, "burst must be at least 1")
+    state.accounts[account.name] = account
+    return Ok(None)
+
+
+@apply.register
+def _delete_account(change: DeleteAccount, state, now):
+    if change.name not in state.accounts:
+        return fail(ErrorKind.NOT_FOUND, f"no account '{change.name}'")
+    del state.accounts[change.name]
+    for key_id in [
+        key.key_id for key in state.keys.values() if key.account == change.name
+    ]:
+        del state.keys[key_id]
+    for place in [place for place in state.shares if place[0] == change.name]:
+        del state.shares[place]
+    return Ok(None)
+
+
+@apply.register
+def _issue_key(change: IssueKey, state, now):
+    key = change.key
+    if key is None or key.account not in state.accounts:
+        return fail(ErrorKind.NOT_FOUND, "a key needs an existing account")
+    if key.key_id in state.keys:
+        return fail(ErrorKind.CONFLICT, f"key '{key.key_id}' exists")
+    if len(key.secret_sha256) != _HASH_BYTES or not key.key_id:
+        return fail(ErrorKind.BAD_REQUEST, "a key needs an id and a hash")
+    state.keys[key.key_id] = attrs.evolve(key, issued_at_s=now)
+    return Ok(None)
+
+
+@apply.register
+def _revoke_key(change: RevokeKey, state, now):
+    if change.key_id not in state.keys:
+        return fail(ErrorKind.NOT_FOUND, f"no key '{change.key_id}'")
+    del state.keys[change.key_id]
+    return Ok(None)
--- /dev/null
+++ b/medlarhollow/configuration/services.py
@@ -0,0 +1,83 @@
+"""Changes of services and routes."""
+
+from result import Ok
+
+from ..errors import fail
+from ..messages.records import DeleteRoute
+from ..messages.records import DeleteService
+from ..messages.records import ErrorKind
+from ..messages.records import PutRoute
+from ..messages.records import PutService
+from .apply import apply
+from .names import check_name
+
+__all__ = []
+
+_HASH_BYTES = 32
+
+
+@apply.register
+def _put_service(change: PutService, state, now):
+    service = change.service
+    if service is None:
+        return fail(ErrorKind.BAD_REQUEST, "a service is needed")
+    name = check_name("service", service.name)
+    if name.is_err():
+        return name
+    if len(service.announce_sha256) != _HASH_BYTES:
+        return fail(
+            ErrorKind.BAD_REQUEST, "a service needs the hash of a credential"
+        )
+    if not service.version:
+        return fail(ErrorKind.BAD_REQUEST, "a service needs a version")
+    state.services[service.name] = service
+    return Ok(None)
+
+
+@apply.register
+def _delete_service(change: DeleteService, state, now):
+    if change.name not in state.services:
+        return fail(ErrorKind.NOT_FOUND, f"no service '{change.name}'")
+    users = [
+        route.path_prefix
+        for route in state.routes.values()
+        if route.service == change.name
+    ]
+    if users:
+        return fail(
+            ErrorKind.CONFLICT,
+            f"service '{change.name}' is used by the routes {users}",
+        )
+    del state.services[change.name]
+    return Ok(None)
+
+
+@apply.register
+def _put_route(change: PutRoute, state, now):
+    route = change.route
+    if route is None or not route.path_prefix.startswith("/"):
+        return fail(
+            ErrorKind.BAD_REQUEST, "a route needs a path prefix like /plots"
+        )
+    if route.path_prefix.startswith("/v1/lookup"):
+        return fail(ErrorKind.BAD_REQUEST, "/v1/lookup is taken")
+    if route.service not in state.services:
+        return fail(ErrorKind.NOT_FOUND, f"no service '{route.service}'")
+    if route.timeout_s < 0 or route.stale_keys_s < 0:
+        return fail(ErrorKind.BAD_REQUEST, "times must not be negative")
+    if route.stale_keys_s and not route.idempotent:
+        return fail(
+            ErrorKind.BAD_REQUEST,
+            "stale_keys_s is allowed on idempotent routes only",
+        )
+    state.routes[(route.host, route.path_prefix)] = route
+    return Ok(None)
+
+
+@apply.register
+def _delete_route(change: DeleteRoute, state, now):
+    place = (change.host, change.path_prefix)
+    if place not in state.routes:
+        return fail(ErrorKind.NOT_FOUND, f"no route {place}")
+    del state.routes[place]
+    return Ok(None)
--- /dev/null
+++ b/medlarhollow/configuration/state.py
@@ -0,0 +1,118 @@
+"""State of the fleet, the same on every VM that holds its revision."""
+
+import attrs
+
+from ..messages.records import StateSnapshot
+
+__all__ = ["FleetState"]
+
+
+@attrs.define
+class FleetState:
+    """Hold what the control quorum has agreed on.
+
+    Attributes
+    ----------
+    cluster : str
+        Identity of the fleet.
+    revision : int
+        Number of accepted changes; only rises.
+    operator_revision : int
+        Revision of the last accepted change by an operator.
+    time_s : float
+        Unix time of the last accepted change, by the leader's clock.
+    accounts, services, presets, moves, vms, allocators, client_blocks : dict
+        Records by name (moves by identifier, allocators by data centre,
+        client blocks by prefix).
+    keys : dict
+        Keys by key identifier.
+    routes : dict
+        Routes by (host, path prefix).
+    links : dict
+        Links by (from region, to region).
+    shares : dict
+        Shares by (account, data centre).
+    shift : Shift or None
+        The preset in force and how far the shift to it has come.
+    """
+
+    cluster: str = ""
+    revision: int = 0
+    operator_revision: int = 0
+    time_s: float = 0.0
+    accounts: dict = attrs.field(factory=dict)
+    keys: dict = attrs.field(factory=dict)
+    services: dict = attrs.field(factory=dict)
+    routes: dict = attrs.field(factory=dict)
+    presets: dict = attrs.field(factory=dict)
+    shift: object = None
+    moves: dict = attrs.field(factory=dict)
+    client_blocks: dict = attrs.field(factory=dict)
+    links: dict = attrs.field(factory=dict)
+    vms: dict = attrs.field(factory=dict)
+    shares: dict = attrs.field(factory=dict)
+    allocators: dict = attrs.field(factory=dict)
+
+    def snapshot(self):
+        """Return the state as a record.
+
+        Returns
+        -------
+        StateSnapshot
+            The whole state, in a fixed order.
+        """
+        return StateSnapshot(
+            cluster=self.cluster,
+            revision=self.revision,
+            operator_revision=self.operator_revision,
+            time_s=self.time_s,
+            shift=self.shift,
+            **{
+                name: tuple(records[key] for key in sorted(records))
+                for name, records in self._tables()
+            },
+        )
+
+    @classmethod
+    def from_snapshot(cls, snapshot):
+        """Return the state that a record describes.
+
+        Parameters
+        ----------
+        snapshot : StateSnapshot
+            Made by :meth:`snapshot`.
+
+        Returns
+        -------
+        FleetState
+            The same state.
+        """
+        state = cls(
+            cluster=snapshot.cluster,
+            revision=snapshot.revision,
+            operator_revision=snapshot.operator_revision,
+            time_s=snapshot.time_s,
+            shift=snapshot.shift,
+        )
+        for name, table in state._tables():
+            for record in getattr(snapshot, name):
+                table[_KEYS[name](record)] = record
+        return state
+
+    def _tables(self):
+        return [(name, getattr(self, name)) for name in _KEYS]
+
+
+_KEYS = {
+    "accounts": lambda record: record.name,
+    "keys": lambda record: record.key_id,
+    "services": lambda record: record.name,
+    "routes": lambda record: (record.host, record.path_prefix),
+    "presets": lambda record: record.name,
+    "moves": lambda record: record.move_id,
+    "client_blocks": lambda record: record.prefix,
+    "links": lambda record: (record.from_region, record.to_region),
+    "vms": lambda record: record.name,
+    "shares": lambda record: (record.account, record.data_centre),
+    "allocators": lambda record: record.data_centre,
+}
--- /dev/null
+++ b/medlarhollow/control/roster.py
@@ -0,0 +1,38 @@
+"""Duty of the leader: keep the roster of entry VMs."""
+
+import attrs
+
+from ..messages.records import Change
+from ..messages.records import SetVm
+from ..messages.records import VmState
+
+__all__ = ["plan_roster"]
+
+
+def plan_roster(state, reports):
+    """Return the changes that bring the roster up to date.
+
+    Parameters
+    ----------
+    state : FleetState
+        Its roster is what all VMs know.
+    reports : tuple of VmReport
+        The reports that are young enough to count as signs of life.
+
+    Returns
+    -------
+    list of Change
+        One for each VM that came, went or changed its state.
+    """
+    alive = {report.vm.name: report.vm for report in reports}
+    changes = [
+        Change(body=SetVm(vm=vm))
+        for name, vm in alive.items()
+        if state.vms.get(name) != vm
+    ]
+    changes += [
+        Change(body=SetVm(vm=attrs.evolve(vm, state=VmState.GONE)))
+        for name, vm in state.vms.items()
+        if name not in alive
+    ]
+    return changes
--- /dev/null
+++ b/medlarhollow/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon."""
--- /dev/null
+++ b/medlarhollow/daemon/fleet_service.py
@@ -0,0 +1,46 @@
+"""Serve the services between VMs."""
+
+from ..distribution import serve_sync
+from ..messages.records import CreditResponse
+from ..messages.records import TokenResponse
+from ..messages.services import FleetBase
+
+__all__ = ["FleetService"]
+
+
+class FleetService(FleetBase):
+    """Serve Sync, Exchange and the acquisition of tokens and credit.
+
+    Parameters
+    ----------
+    settings : Settings
+        The settings of the process.
+    source : callable
+        Returns the `Replica` or `FleetCopy` to serve from.
+    reports : Reports
+        Takes the reports of downstream VMs.
+    """
+
+    def __init__(self, settings, source, reports):
+        self._settings = settings
+        self._source = source
+        self._reports = reports
+
+    async def Sync(self, stream):
+        """Serve the agreed state to one downstream VM."""
+        await serve_sync(stream, self._source(), self._reports, self._settings)
+
+    async def Exchange(self, stream):
+        """Exchange directory updates with one VM of the data centre."""
+        async for _ in stream:
+            pass
+
+    async def AcquireTokens(self, stream):
+        """Hand out tokens of this data centre's share."""
+        await stream.recv_message()
+        await stream.send_message(TokenResponse())
+
+    async def AcquireCredit(self, stream):
+        """Grant credit for requests from another data centre."""
+        await stream.recv_message()
+        await stream.send_message(CreditResponse())
--- /dev/null
+++ b/medlarhollow/daemon/main.py
@@ -0,0 +1,51 @@
+"""Entry point of the daemon."""
+
+import argparse
+import asyncio
+import sys
+
+import uvloop
+
+from ..settings import load_settings
+from ..settings import SettingsError
+from ..telemetry import set_up_logs
+from .process import run_process
+
+__all__ = ["main"]
+
+EXIT_BAD_SETTINGS = 2
+
+
+def main(arguments=None):
+    """Read the settings and run until a signal to stop.
+
+    Parameters
+    ----------
+    arguments : list of str or None
+        Command line; None for that of the process.
+
+    Returns
+    -------
+    int
+        0 after a graceful stop, 2 for bad settings, 3 if a request was cut
+        off at the stop.
+    """
+    parser = argparse.ArgumentParser(
+        prog="medlarhollowd", description="Daemon of medlarhollow."
+    )
+    parser.add_argument("settings", help="INI file")
+    parser.add_argument(
+        "--check", action="store_true", help="only check the settings"
+    )
+    options = parser.parse_args(arguments)
+    try:
+        settings = load_settings(options.settings)
+    except SettingsError as error:
+        print(error, file=sys.stderr)
+        return EXIT_BAD_SETTINGS
+    if options.check:
+        print(f"{options.settings}: no faults")
+        return 0
+    set_up_logs(settings)
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        return runner.run(run_process(settings))
--- /dev/null
+++ b/medlarhollow/distribution/copy.py
@@ -0,0 +1,136 @@
+"""Copy of the fleet state on a VM that takes no part in agreement."""
+
+import asyncio
+
+from result import Ok
+
+from ..configuration import apply
+from ..configuration import FleetState
+from ..configuration import History
+from ..errors import fail
+from ..messages.records import ErrorKind
+
+__all__ = ["FleetCopy"]
+
+
+class FleetCopy:
+    """Follow the agreed state, upward only.
+
+    Parameters
+    ----------
+    settings : Settings
+        Sections ``vm`` and ``control`` are read.
+    """
+
+    def __init__(self, settings):
+        self._cluster = settings.vm.cluster
+        self._state = FleetState(cluster=settings.vm.cluster)
+        self._history = History(settings.control.history_commits)
+        self._proof_time_s = float("-inf")
+        self._changed = asyncio.Condition()
+
+    @property
+    def state(self):
+        """FleetState : the state at the highest revision taken."""
+        return self._state
+
+    @property
+    def history(self):
+        """History : recent changes, for VMs that follow this one."""
+        return self._history
+
+    def freshness_age_s(self, now):
+        """Return the age of the last proof of a quorum's authority.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic time in seconds.
+
+        Returns
+        -------
+        float
+            Infinite if there is no proof yet.
+        """
+        return now - self._proof_time_s
+
+    async def take(self, response, requested_at):
+        """Take what an upstream sent.
+
+        Parameters
+        ----------
+        response : SyncResponse
+            Changes or a snapshot, with the age of the upstream's proof.
+        requested_at : float
+            Monotonic time in seconds when this VM asked.
+
+        Returns
+        -------
+        result.Result
+            ``Ok(None)``, or ``WRONG_CLUSTER`` or ``CONFLICT`` if the
+            response does not continue this copy.
+
+        Notes
+        -----
+        The upstream's proof was `freshness_age_s` old when it answered, and
+        it answered after the request, so the proof is not older than
+        ``requested_at - freshness_age_s``. No clocks are compared.
+        """
+        if response.cluster != self._cluster:
+            return fail(
+                ErrorKind.WRONG_CLUSTER,
+                f"upstream belongs to '{response.cluster}'",
+            )
+        if response.failure is not None:
+            return fail(response.failure.kind, response.failure.detail)
+        before = self._state.revision
+        self._take_snapshot(response.snapshot)
+        result = self._take_commits(response.commits)
+        if result.is_err():
+            return result
+        if response.freshness_age_s >= 0:
+            proof = requested_at - response.freshness_age_s
+            self._proof_time_s = max(self._proof_time_s, proof)
+        if self._state.revision > before:
+            async with self._changed:
+                self._changed.notify_all()
+        return Ok(None)
+
+    async def wait_for_revision(self, revision, timeout_s):
+        """Wait until the copy has a revision above the given one.
+
+        Returns after `timeout_s` seconds in any case.
+        """
+        try:
+            async with asyncio.timeout(timeout_s), self._changed:
+                await self._changed.wait_for(
+                    lambda: self._state.revision > revision
+                )
+        except TimeoutError:
+            return
+
+    def _take_snapshot(self, snapshot):
+        if snapshot is None or snapshot.revision <= self._state.revision:
+            return
+        self._state = FleetState.from_snapshot(snapshot)
+        self._history.clear()
+
+    def _take_commits(self, commits):
+        for commit in commits:
+            if commit.revision <= self._state.revision:
+                continue
+            if commit.revision != self._state.revision + 1:
+                return fail(
+                    ErrorKind.CONFLICT,
+                    f"revision {commit.revision} does not follow "
+                    f"{self._state.revision}",
+                )
+            result = apply(commit.change.body, self._state, commit.time_s)
+            if result.is_err():
+                return result
+            self._state.revision = commit.revision
+            self._state.time_s = commit.time_s
+            if commit.change.author:
+                self._state.operator_revision = commit.revision
+            self._history.add(commit)
+        return Ok(None)
--- /dev/null
+++ b/medlarhollow/distribution/serve.py
@@ -0,0 +1,88 @@
+"""Serve the agreed state to one downstream VM."""
+
+import math
+import time
+
+from ..messages.records import ErrorKind
+from ..messages.records import Failure
+from ..messages.records import SyncResponse
+
+__all__ = ["answer_sync", "serve_sync"]
+
+HOLD_S = 0.5
+
+
+async def serve_sync(stream, source, reports, settings):
+    """Answer one downstream VM until it goes away.
+
+    Parameters
+    ----------
+    stream : grpclib.server.Stream
+        Its Sync stream.
+    source : Replica or FleetCopy
+        Holds the state served.
+    reports : Reports
+        Takes the reports of the downstream VM.
+    settings : Settings
+        Section ``vm`` is read.
+
+    Notes
+    -----
+    The task holds a request for up to 0.5 s when there is nothing new, so
+    that a change goes out at once and an idle stream costs two messages a
+    second.
+    """
+    async for request in stream:
+        reports.add(request, time.monotonic())
+        if request.cluster == settings.vm.cluster:
+            await source.wait_for_revision(request.revision, HOLD_S)
+        await stream.send_message(
+            answer_sync(request, source, settings, time.monotonic())
+        )
+
+
+def answer_sync(request, source, settings, now):
+    """Decide what a downstream VM is told.
+
+    Parameters
+    ----------
+    request : SyncRequest
+        Names the cluster and the revision that the downstream VM holds.
+    source : Replica or FleetCopy
+        Holds the state served.
+    settings : Settings
+        Section ``vm`` is read.
+    now : float
+        Monotonic time in seconds.
+
+    Returns
+    -------
+    SyncResponse
+        The changes after that revision, or a snapshot if the history does
+        not reach back so far or the downstream VM is ahead.
+    """
+    cluster = settings.vm.cluster
+    if request.cluster != cluster:
+        failure = Failure(
+            kind=ErrorKind.WRONG_CLUSTER,
+            detail=f"this is '{cluster}', not '{request.cluster}'",
+        )
+        return SyncResponse(
+            cluster=cluster, sequence=request.sequence, failure=failure
+        )
+    age = source.freshness_age_s(now)
+    commits, snapshot = (), None
+    if request.revision < source.state.revision:
+        commits = source.history.after(request.revision)
+        if commits is None:
+            commits, snapshot = (), source.state.snapshot()
+    # A downstream VM that is ahead must not count this upstream's proof for
+    # a state that the proof does not cover.
+    covered = request.revision <= source.state.revision
+    return SyncResponse(
+        cluster=cluster,
+        sequence=request.sequence,
+        freshness_age_s=age if covered and math.isfinite(age) else -1.0,
+        commits=commits,
+        snapshot=snapshot,
+    )
--- /dev/null
+++ b/medlarhollow/errors/__init__.py
@@ -0,0 +1,9 @@
+"""The closed list of error kinds and the response of each."""
+
+from .failures import fail
+from .failures import FailureError
+from .responses import outcome_of
+from .responses import Response
+from .responses import response_of
+
+__all__ = ["FailureError", "Response", "fail", "outcome_of", "response_of"]
--- /dev/null
+++ b/medlarhollow/localfleet/fleet.py
@@ -0,0 +1,183 @@
+"""A fleet of real processes on one machine."""
+
+import configparser
+import hashlib
+import pathlib
+import secrets
+
+import attrs
+
+from .ports import free_addresses
+from .process import LocalProcess
+
+__all__ = ["LocalFleet", "VmAddresses"]
+
+OPERATOR_TOKEN = "local-operator-token"
+
+
+@attrs.frozen
+class VmAddresses:
+    """Addresses of one process.
+
+    Attributes
+    ----------
+    peer, callers, announce, admin : str
+        ``host:port`` of each front door.
+    """
+
+    peer: str
+    callers: str
+    announce: str
+    admin: str
+
+
+class LocalFleet:
+    """Write settings files for a fleet and run its processes.
+
+    Parameters
+    ----------
+    folder : str or pathlib.Path
+        Empty folder for settings, data and logs.
+    replicas : int
+        Number of control replicas.
+    data_centres : tuple of (str, str, int)
+        Region, data centre and number of entry VMs of each.
+    options : dict or None
+        More INI options, as ``{section: {option: value}}``.
+    """
+
+    def __init__(self, folder, replicas, data_centres, options=None):
+        self._folder = pathlib.Path(folder)
+        self._options = options or {}
+        self._addresses = {}
+        self._processes = {}
+        self._write_secrets()
+        control = [f"control-{number + 1}" for number in range(replicas)]
+        entries = [
+            (f"{data_centre}-{number + 1}", region, data_centre)
+            for region, data_centre, count in data_centres
+            for number in range(count)
+        ]
+        ports = iter(free_addresses(4 * (len(control) + len(entries))))
+        for name in [*control, *(name for name, _, _ in entries)]:
+            self._addresses[name] = VmAddresses(*(next(ports) for _ in "1234"))
+        self._replicas = [self._addresses[name].peer for name in control]
+        first = data_centres[0]
+        for name in control:
+            self._write(name, first[0], first[1], "control")
+        for name, region, data_centre in entries:
+            self._write(name, region, data_centre, "entry")
+
+    @property
+    def addresses(self):
+        """Dict of VmAddresses by process name."""
+        return self._addresses
+
+    @property
+    def processes(self):
+        """Dict of LocalProcess by name."""
+        return self._processes
+
+    @property
+    def operator_token(self):
+        """Token of an operator of this fleet."""
+        return OPERATOR_TOKEN
+
+    def start(self):
+        """Start every process."""
+        for process in self._processes.values():
+            process.start()
+
+    def stop(self):
+        """Stop every process gracefully.
+
+        Returns
+        -------
+        dict of int
+            Exit codes by name.
+        """
+        return {
+            name: process.stop() for name, process in self._processes.items()
+        }
+
+    def kill(self):
+        """Kill every process."""
+        for process in self._processes.values():
+            process.kill()
+
+    def add_backend(self, name, service, version, credential, entry):
+        """Add a small fake backend server, not yet started.
+
+        Parameters
+        ----------
+        name, service, version : str
+            What it announces.
+        credential : str
+            Credential of the service.
+        entry : str
+            Name of the entry VM that it announces itself to.
+
+        Returns
+        -------
+        LocalProcess
+            The process.
+        """
+        arguments = [
+            "medlarhollow.localfleet.backend",
+            *("--name", name),
+            *("--service", service),
+            *("--version", version),
+            *("--credential", credential),
+            *("--announce", self._addresses[entry].announce),
+            *("--listen", free_addresses(1)[0]),
+        ]
+        process = LocalProcess(name, arguments, self._folder)
+        self._processes[name] = process
+        return process
+
+    def _write_secrets(self):
+        self._folder.mkdir(parents=True, exist_ok=True)
+        (self._folder / "peer.secret").write_text(secrets.token_hex(32))
+        token = hashlib.sha256(OPERATOR_TOKEN.encode()).hexdigest()
+        (self._folder / "operators").write_text(f"operator {token}\n")
+
+    def _write(self, name, region, data_centre, role):
+        own = self._addresses[name]
+        parser = configparser.ConfigParser(interpolation=None)
+        parser.read_dict(
+            {
+                "vm": {
+                    "name": name,
+                    "cluster": "local",
+                    "region": region,
+                    "data_centre": data_centre,
+                    "roles": role,
+                },
+                "peer": {
+                    "listen": own.peer,
+                    "secret_file": str(self._folder / "peer.secret"),
+                },
+                "control": {"replicas": ", ".join(self._replicas)},
+                "entry": {
+                    "listen": own.callers,
+                    "announce_listen": own.announce,
+                },
+            }
+        )
+        if role == "control":
+            parser["control"]["data_dir"] = str(self._folder / f"{name}.data")
+            parser["control"]["bootstrap"] = "yes"
+            parser["admin"] = {
+                "listen": own.admin,
+                "tokens_file": str(self._folder / "operators"),
+            }
+        for section, values in self._options.items():
+            if not parser.has_section(section):
+                parser.add_section(section)
+            parser[section].update(values)
+        path = self._folder / f"{name}.ini"
+        with open(path, "w", encoding="utf-8") as file:
+            parser.write(file)
+        self._processes[name] = LocalProcess(
+            name, ["medlarhollow.daemon", str(path)], self._folder
+        )
--- /dev/null
+++ b/medlarhollow/messages/__init__.py
@@ -0,0 +1,7 @@
+"""Messages between processes and records of the state, from the schema."""
+
+from .codec import decode
+from .codec import encode
+from .codec import RecordCodec
+
+__all__ = ["RecordCodec", "decode", "encode"]
--- /dev/null
+++ b/medlarhollow/storage/__init__.py
@@ -0,0 +1,1 @@
+"""Synced files of a control replica."""
--- /dev/null
+++ b/medlarhollow/transport/__init__.py
@@ -0,0 +1,8 @@
+"""Authenticated gRPC between the system's own processes."""
+
+from .address import parse_address
+from .channel import call
+from .channel import Channels
+from .server import PeerServer
+
+__all__ = ["Channels", "PeerServer", "call", "parse_address"]
--- /dev/null
+++ b/medlarhollow/transport/channel.py
@@ -0,0 +1,100 @@
+"""Client connections to other processes of the fleet."""
+
+import asyncio
+
+from grpclib.client import Channel
+from grpclib.config import Configuration
+from grpclib.events import listen
+from grpclib.events import SendRequest
+
+from ..messages import RecordCodec
+from .address import parse_address
+from .secret import client_tls
+from .secret import read_secret
+
+__all__ = ["SECRET_HEADER", "Channels", "call"]
+
+SECRET_HEADER = "x-fleet-secret"
+
+
+class Channels:
+    """Keep one connection to each address.
+
+    Parameters
+    ----------
+    settings : Settings
+        The settings of the process; section ``peer`` is read.
+    """
+
+    def __init__(self, settings):
+        self._settings = settings.peer
+        self._secret = read_secret(settings.peer)
+        self._tls = client_tls(settings.peer)
+        self._channels = {}
+
+    def get(self, address):
+        """Return the channel to an address, opened on first use.
+
+        Parameters
+        ----------
+        address : str
+            ``host:port`` of the peer.
+
+        Returns
+        -------
+        grpclib.client.Channel
+            Channel that sends the fleet's secret with each call.
+        """
+        channel = self._channels.get(address)
+        if channel is None:
+            channel = self._channels[address] = self._open(address)
+        return channel
+
+    def drop(self, address):
+        """Close the connection to an address, so that the next is new.
+
+        A connection can be dead although neither end saw it close, when
+        something between them has lost track of it.
+        """
+        channel = self._channels.pop(address, None)
+        if channel is not None:
+            channel.close()
+
+    def close(self):
+        """Close all connections."""
+        for address in list(self._channels):
+            self.drop(address)
+
+    def _open(self, address):
+        host, port = parse_address(address)
+        channel = Channel(
+            host,
+            port,
+            ssl=self._tls,
+            codec=RecordCodec(),
+            config=Configuration(
+                _keepalive_time=self._settings.silence_timeout_s,
+                _keepalive_timeout=self._settings.silence_timeout_s,
+                _http2_max_pings_without_data=0,
+                _http2_min_sent_ping_interval_without_data=(
+                    self._settings.silence_timeout_s / 2
+                ),
+            ),
+        )
+        listen(channel, SendRequest, self._add_secret)
+        return channel
+
+    async def _add_secret(self, event):
+        event.metadata[SECRET_HEADER] = self._secret
+
+
+async def call(method, request, timeout_s):
+    """Call a unary method and give up after `timeout_s` seconds.
+
+    Raises
+    ------
+    asyncio.TimeoutError
+        If connecting and answering took longer.
+    """
+    async with asyncio.timeout(timeout_s):
+        return await method(request)
--- /dev/null
+++ b/medlarhollow/transport/server.py
@@ -0,0 +1,49 @@
+"""Server for calls of other processes of the fleet."""
+
+from grpclib.const import Status
+from grpclib.events import listen
+from grpclib.events import RecvRequest
+from grpclib.exceptions import GRPCError
+from grpclib.server import Server
+
+from ..messages import RecordCodec
+from .address import parse_address
+from .channel import SECRET_HEADER
+from .secret import read_secret
+from .secret import same_secret
+from .secret import server_tls
+
+__all__ = ["PeerServer"]
+
+
+class PeerServer:
+    """Serve the given services to processes that know the fleet's secret.
+
+    Parameters
+    ----------
+    settings : Settings
+        The settings of the process; section ``peer`` is read.
+    services : list
+        Instances of the generated service classes.
+    """
+
+    def __init__(self, settings, services):
+        self._settings = settings.peer
+        self._secret = read_secret(settings.peer)
+        self._server = Server(services, codec=RecordCodec())
+        listen(self._server, RecvRequest, self._authenticate)
+
+    async def start(self):
+        """Listen on the peer address."""
+        host, port = parse_address(self._settings.listen)
+        await self._server.start(host, port, ssl=server_tls(self._settings))
+
+    async def stop(self):
+        """Stop listening and cancel running calls."""
+        self._server.close()
+        await self._server.wait_closed()
+
+    async def _authenticate(self, event):
+        given = event.metadata.get(SECRET_HEADER, "")
+        if not same_secret(given, self._secret):
+            raise GRPCError(Status.UNAUTHENTICATED, "wrong fleet secret")
