Define the interfaces between entry, limits, steering, moves and claims

Cause: these parts are built at the same time and need fixed interfaces.

Change: Limiter.admit, Dispatcher.acquire and release, choose_version, SampleCounter, ClaimLedger and ControlClient stand as the simplest working code and are used by the proxy and the daemon.

Conclusion: each part can now be replaced behind its interface.

--- a/medlarhollow/agreement/ledger.py
+++ b/medlarhollow/agreement/ledger.py
@@ -13,12 +13,18 @@
 from ..configuration import History
 from ..errors import fail
 from ..messages.records import Applied
+from ..messages.records import Claim
 from ..messages.records import Commit
+from ..messages.records import CompleteClaim
 from ..messages.records import ErrorKind
+from ..messages.records import ReleaseClaim
 from ..messages.records import RequestRecord
+from ..requests import ClaimLedger
 
 __all__ = ["Ledger"]
 
+_CLAIM_CHANGES = (Claim, CompleteClaim, ReleaseClaim)
+
 
 class Ledger:
     """Execute agreed changes in log order.
@@ -33,6 +39,7 @@
         self._settings = settings
         self._state = FleetState(cluster=settings.vm.cluster)
         self._history = History(settings.control.history_commits)
+        self._claims = ClaimLedger(settings)
         self._requests = {}
 
     @property
@@ -61,6 +68,8 @@
             ``Ok`` with an `Applied` or the failure; for a change that was
             executed before, its first result.
         """
+        if isinstance(change.body, _CLAIM_CHANGES):
+            return self._claims.execute(change.body, now)
         known = self._requests.get(change.request_id)
         if known is not None:
             return Err(known.failure) if known.failure else Ok(known.applied)
--- a/medlarhollow/control/__init__.py
+++ b/medlarhollow/control/__init__.py
@@ -1,5 +1,6 @@
 """Services of a control replica and the duties of the leader."""
 
+from .client import ControlClient
 from .service import ControlService
 
-__all__ = ["ControlService"]
+__all__ = ["ControlClient", "ControlService"]
--- a/medlarhollow/daemon/process.py
+++ b/medlarhollow/daemon/process.py
@@ -12,6 +12,7 @@
 from ..admin import make_admin_app
 from ..admin.operators import Operators
 from ..agreement import Replica
+from ..control import ControlClient
 from ..control import ControlService
 from ..control.roster import plan_roster
 from ..distribution import FleetCopy
@@ -20,10 +21,13 @@
 from ..entry import EntryVm
 from ..entry import make_announce_app
 from ..entry import make_caller_app
+from ..limits import Limiter
 from ..membership import Directory
 from ..messages.records import Vm
 from ..messages.records import VmReport
 from ..messages.records import VmState
+from ..moves import SampleCounter
+from ..steering import Dispatcher
 from ..transport import Channels
 from ..transport import PeerServer
 from .fleet_service import FleetService
@@ -68,6 +72,12 @@
         self._copy = FleetCopy(settings)
         self._state = VmState.SERVING
         self._incarnation = uuid.uuid4().hex
+        self._directory = Directory(settings)
+        self._limiter = Limiter(settings, self._copy, self._channels)
+        self._dispatcher = Dispatcher(
+            settings, self._copy, self._directory, self._channels
+        )
+        self._samples = SampleCounter(settings)
         self._replica = None
         if "control" in settings.vm.roles:
             self._replica = Replica(settings, self._channels)
@@ -115,6 +125,9 @@
             self._settings,
             self._replica,
         )
+        if "entry" in self._settings.vm.roles:
+            yield self._limiter.run()
+            yield self._dispatcher.run()
         if self._replica is not None:
             yield self._keep_roster()
 
@@ -169,11 +182,24 @@
                 *(server.serve_until(self._stop) for server in servers)
             )
 
+    def _entry_vm(self, client):
+        own = self._settings
+        return EntryVm(
+            settings=own,
+            copy=self._copy,
+            directory=self._directory,
+            limiter=self._limiter,
+            dispatcher=self._dispatcher,
+            samples=self._samples,
+            control=ControlClient(own, self._channels),
+            client=client,
+        )
+
     def _front_doors(self, client):
         own = self._settings
         limit_s = own.entry.drain_limit_s
         if "entry" in own.vm.roles:
-            vm = EntryVm(own, self._copy, Directory(own), client)
+            vm = self._entry_vm(client)
             yield HttpServer(make_caller_app(vm), own.entry.listen, limit_s)
             yield HttpServer(
                 make_announce_app(vm), own.entry.announce_listen, limit_s
--- a/medlarhollow/entry/proxy.py
+++ b/medlarhollow/entry/proxy.py
@@ -12,6 +12,7 @@
 from ..configuration import match_route
 from ..errors import fail
 from ..messages.records import ErrorKind
+from ..steering import Demand
 from .answers import answer_failure
 
 __all__ = ["Proxy"]
@@ -50,13 +51,20 @@
         await response(scope, receive, send)
 
     async def _serve(self, request):
-        route = self._admit(request)
-        if route.is_err():
-            return answer_failure(route.err_value)
-        server = self._choose(route.ok_value)
-        if server.is_err():
-            return answer_failure(server.err_value)
-        return await self._forward(request, server.ok_value)
+        admitted = self._admit(request)
+        if admitted.is_err():
+            return answer_failure(admitted.err_value)
+        demand = admitted.ok_value
+        if demand.account:
+            token = await self._vm.limiter.admit(
+                demand.account, demand.deadline_at
+            )
+            if token.is_err():
+                return answer_failure(token.err_value)
+        assigned = await self._vm.dispatcher.acquire(demand)
+        if assigned.is_err():
+            return answer_failure(assigned.err_value)
+        return await self._forward(request, assigned.ok_value.server)
 
     def _admit(self, request):
         state = self._vm.copy.state
@@ -64,27 +72,27 @@
         route = match_route(state, host, request.url.path)
         if route is None:
             return fail(ErrorKind.NOT_FOUND, "no route for this path")
-        if route.open:
-            return Ok(route)
+        account = ""
+        if not route.open:
+            checked = self._check_key(request)
+            if checked.is_err():
+                return checked
+            account = checked.ok_value
+        timeout_s = (
+            route.timeout_s or self._vm.settings.entry.default_timeout_s
+        )
+        deadline_at = time.monotonic() + timeout_s
+        return Ok(Demand(route, account, deadline_at, random.random()))
+
+    def _check_key(self, request):
         age = self._vm.copy.freshness_age_s(time.monotonic())
         if age > self._vm.settings.limits.key_freshness_limit_s:
             return fail(
                 ErrorKind.STALE_AUTHORITY,
                 "this VM cannot tell whether the key is still valid",
             )
-        account = check_key(state, request.headers.get(KEY_HEADER, ""))
-        return account.map(lambda _: route)
-
-    def _choose(self, route):
-        version = self._vm.copy.state.services[route.service].version
-        servers = self._vm.directory.servers(
-            route.service, version, time.monotonic()
-        )
-        if not servers:
-            return fail(
-                ErrorKind.NO_BACKEND, f"no backend server of {route.service}"
-            )
-        return Ok(random.choice(servers))
+        text = request.headers.get(KEY_HEADER, "")
+        return check_key(self._vm.copy.state, text)
 
     async def _forward(self, request, server):
         url = f"http://{server.address}{request.url.path}"
--- a/medlarhollow/entry/vm.py
+++ b/medlarhollow/entry/vm.py
@@ -2,8 +2,12 @@
 
 import attrs
 
+from ..control import ControlClient
+from ..limits import Limiter
 from ..membership import Directory
+from ..moves import SampleCounter
 from ..settings import Settings
+from ..steering import Dispatcher
 
 __all__ = ["EntryVm"]
 
@@ -20,6 +24,14 @@
         The agreed state.
     directory : Directory
         Backend servers of the data centre.
+    limiter : Limiter
+        Shares of rate and burst.
+    dispatcher : Dispatcher
+        Slots of backend servers.
+    samples : SampleCounter
+        How versions answer.
+    control : ControlClient
+        Proposes claims.
     client : aiohttp.ClientSession
         Connections to backend servers.
     """
@@ -27,4 +39,8 @@
     settings: Settings
     copy: object
     directory: Directory
+    limiter: Limiter
+    dispatcher: Dispatcher
+    samples: SampleCounter
+    control: ControlClient
     client: object
--- /dev/null
+++ b/medlarhollow/steering/__init__.py
@@ -0,0 +1,8 @@
+"""Choice of the backend server or data centre that serves a request."""
+
+from .assignment import Assignment
+from .assignment import AttemptResult
+from .assignment import Demand
+from .dispatcher import Dispatcher
+
+__all__ = ["Assignment", "AttemptResult", "Demand", "Dispatcher"]
