--- /dev/null
+++ b/medlarhollow/steering/tests/test_blocks.py
@@ -0,0 +1,63 @@
+import ipaddress
+
+from hypothesis import given
+from hypothesis import strategies as st
+import pytest
+
+from medlarhollow.steering.blocks import BlockTable
+
+PREFIXES = st.builds(
+    lambda value, length: ipaddress.ip_network((value, length), strict=False),
+    st.integers(0, 2**32 - 1),
+    st.integers(0, 32),
+)
+NEAR = st.integers(0, 2**32 - 1)
+
+
+def naive_find(blocks, address):
+    """Scan all prefixes for the longest that contains the address."""
+    holders = [
+        (network.prefixlen, site)
+        for network, site in blocks.items()
+        if address in network
+    ]
+    return max(holders)[1] if holders else None
+
+
+@given(st.dictionaries(PREFIXES, st.sampled_from("abcd"), max_size=12), NEAR)
+def test_agrees_with_a_scan_of_all_prefixes(blocks, extra):
+    """Guards nested, adjacent and outermost prefixes: an address at either
+    edge of each prefix must get the longest one that contains it."""
+    table = BlockTable([(str(net), site) for net, site in blocks.items()])
+    values = {extra}
+    for network in blocks:
+        first, last = int(network[0]), int(network[-1])
+        values |= {first, last, max(first - 1, 0), min(last + 1, 2**32 - 1)}
+    for value in values:
+        address = ipaddress.IPv4Address(value)
+        assert table.find(str(address)) == naive_find(blocks, address)
+
+
+@pytest.mark.parametrize(
+    ("address", "site"),
+    [
+        ("2001:db8::1", "wide"),
+        ("2001:db8:1::1", "narrow"),
+        ("2001:db9::1", None),
+        ("10.0.0.1", None),
+        ("not an address", None),
+    ],
+)
+def test_ipv6_and_unknown_addresses(address, site):
+    """Guards the second address family and answers without a block."""
+    table = BlockTable(
+        [("2001:db8::/32", "wide"), ("2001:db8:1::/48", "narrow")]
+    )
+    assert table.find(address) == site
+
+
+@pytest.mark.parametrize("prefix", ["10.0.0.1/8", "x", "2001:db8::/96"])
+def test_wrong_prefix_is_refused(prefix):
+    """Guards against a table that silently misses a block."""
+    with pytest.raises(ValueError, match="."):
+        BlockTable([(prefix, "site")])
