--- a/medlarhollow/agreement/__init__.py
+++ b/medlarhollow/agreement/__init__.py
@@ -2,5 +2,6 @@
 
 from .ledger import Ledger
 from .replica import Replica
+from .service import RaftService
 
-__all__ = ["Ledger", "Replica"]
+__all__ = ["Ledger", "RaftService", "Replica"]
--- /dev/null
+++ b/medlarhollow/agreement/elections.py
@@ -0,0 +1,162 @@
+"""Elect a leader."""
+
+import asyncio
+import logging
+import time
+
+import attrs
+from grpclib.exceptions import GRPCError
+from grpclib.exceptions import StreamTerminatedError
+
+from ..messages.records import VoteRequest
+from ..messages.services import RaftStub
+from ..transport import call
+from .leading import become_leader
+from .leading import lead
+from .node import Role
+from .replicas import voters_of
+from .votes import counts_as_vote
+from .votes import decide_vote
+from .votes import quorum_of
+from .votes import VoterView
+
+__all__ = ["run_elections", "vote"]
+
+_LOG = logging.getLogger(__name__)
+
+
+async def run_elections(node, channels, random):
+    """Campaign whenever there is no leader, and lead after each victory.
+
+    Parameters
+    ----------
+    node : Node
+        This replica.
+    channels : Channels
+        Connections to the other replicas.
+    random : random.Random
+        Spreads the timeouts, so that few elections are split.
+    """
+    while not node.failed:
+        await _wait_for_silence(node, random)
+        if node.may_campaign and await _campaign(node, channels):
+            await lead(node, channels)
+
+
+async def vote(node, request):
+    """Answer a request for a vote; the vote is synced first.
+
+    Parameters
+    ----------
+    node : Node
+        This replica.
+    request : VoteRequest
+        From a candidate.
+
+    Returns
+    -------
+    VoteResponse
+        The decision.
+    """
+    async with node.lock:
+        now = time.monotonic()
+        view = VoterView(
+            incarnation=node.identity.incarnation,
+            hard=node.hard,
+            last_index=node.log.last_index,
+            last_term=node.log.last_term,
+            has_leader=node.has_leader(now),
+        )
+        hard, response = decide_vote(view, request)
+        await node.save_hard_state(hard)
+        if response.granted and not request.pre_vote:
+            node.heard_at = now
+        return response
+
+
+async def _wait_for_silence(node, random):
+    shortest_s = node.settings.control.election_timeout_s
+    timeout_s = random.uniform(shortest_s, 2 * shortest_s)
+    began = time.monotonic()
+    if [*map(node.is_self, voters_of(node.log.replicas))] == [True]:
+        return
+    while True:
+        now = time.monotonic()
+        left_s = max(began, node.heard_at) + timeout_s - now
+        if left_s <= 0:
+            return
+        await asyncio.sleep(left_s)
+
+
+async def _campaign(node, channels):
+    term = node.hard.term
+    heard_at = node.heard_at
+    if not await _ask_all(node, channels, _request(node, pre_vote=True)):
+        return False
+    async with node.lock:
+        moved = (node.hard.term, node.heard_at) != (term, heard_at)
+        if moved or not node.may_campaign:
+            return False
+        await node.sync_log()
+        await node.save_hard_state(node.own_vote())
+        node.role = Role.CANDIDATE
+        node.leader = node.leader_address = ""
+    _LOG.info("agreement: candidate in term %d", node.hard.term)
+    request = _request(node, pre_vote=False)
+    won = await _ask_all(node, channels, request)
+    async with node.lock:
+        if node.role is not Role.CANDIDATE or node.hard.term != request.term:
+            return False
+        if not won:
+            node.role = Role.FOLLOWER
+            return False
+        become_leader(node, time.monotonic())
+    return True
+
+
+def _request(node, pre_vote):
+    return VoteRequest(
+        cluster=node.identity.cluster,
+        candidate=node.identity.name,
+        candidate_incarnation=node.identity.incarnation,
+        term=node.hard.term + (1 if pre_vote else 0),
+        last_index=node.log.last_index,
+        last_term=node.log.last_term,
+        pre_vote=pre_vote,
+    )
+
+
+async def _ask_all(node, channels, request):
+    """Return whether a majority of the voters, this one included, agrees."""
+    voters = voters_of(node.log.replicas)
+    needed = quorum_of(len(voters)) - sum(map(node.is_self, voters))
+    tasks = {
+        asyncio.create_task(_ask(node, channels, voter, request))
+        for voter in voters
+        if not node.is_self(voter)
+    }
+    pending = tasks
+    try:
+        while pending and needed > 0:
+            done, pending = await asyncio.wait(
+                pending, return_when=asyncio.FIRST_COMPLETED
+            )
+            needed -= sum(task.result() for task in done)
+        return needed <= 0
+    finally:
+        for task in tasks:
+            task.cancel()
+
+
+async def _ask(node, channels, voter, request):
+    """Return 1 for a vote, else 0."""
+    timeout_s = node.settings.control.election_timeout_s
+    named = attrs.evolve(request, voter_incarnation=voter.incarnation)
+    stub = RaftStub(channels.get(voter.address))
+    try:
+        response = await call(stub.Vote, named, timeout_s)
+    except (GRPCError, StreamTerminatedError, OSError, TimeoutError):
+        channels.drop(voter.address)
+        return 0
+    await node.learn_term(response.term)
+    return int(counts_as_vote(response, voter))
--- a/medlarhollow/agreement/ledger.py
+++ b/medlarhollow/agreement/ledger.py
@@ -5,6 +5,10 @@
 applied twice, and the idempotency claims.
 """
 
+import hashlib
+import logging
+
+import attrs
 from result import Err
 from result import Ok
 
@@ -12,6 +16,7 @@
 from ..configuration import FleetState
 from ..configuration import History
 from ..errors import fail
+from ..messages import encode
 from ..messages.records import Applied
 from ..messages.records import Claim
 from ..messages.records import Commit
@@ -21,11 +26,17 @@
 from ..messages.records import RequestRecord
 from ..requests import ClaimLedger
 
-__all__ = ["Ledger"]
+__all__ = ["Ledger", "is_claim"]
 
+_LOG = logging.getLogger(__name__)
 _CLAIM_CHANGES = (Claim, CompleteClaim, ReleaseClaim)
 
 
+def is_claim(change):
+    """Return whether a change concerns an idempotency claim."""
+    return isinstance(change.body, _CLAIM_CHANGES)
+
+
 class Ledger:
     """Execute agreed changes in log order.
 
@@ -52,6 +63,35 @@
         """History : recent accepted changes."""
         return self._history
 
+    def snapshot(self):
+        """Return everything that this ledger knows as a record.
+
+        Returns
+        -------
+        StateSnapshot
+            The fleet state, the first answers and the claims.
+        """
+        return attrs.evolve(
+            self._state.snapshot(),
+            requests=tuple(self._requests.values()),
+            claims=self._claims.records,
+        )
+
+    def restore(self, snapshot):
+        """Replace everything by what a snapshot holds.
+
+        Parameters
+        ----------
+        snapshot : StateSnapshot
+            Made by :meth:`snapshot`.
+        """
+        self._state = FleetState.from_snapshot(snapshot)
+        self._history.clear()
+        self._claims.restore(snapshot.claims)
+        self._requests = {
+            record.request_id: record for record in snapshot.requests
+        }
+
     def execute(self, change, now):
         """Execute one change.
 
@@ -60,19 +100,21 @@
         change : Change
             From a committed log entry.
         now : float
-            Unix time of the entry in seconds.
+            Unix time of the entry in seconds; it never falls.
 
         Returns
         -------
         result.Result
             ``Ok`` with an `Applied` or the failure; for a change that was
-            executed before, its first result.
+            executed before, its first result. ``KEY_REUSED`` if another
+            change was executed under the same request identifier.
         """
-        if isinstance(change.body, _CLAIM_CHANGES):
-            return self._claims.execute(change.body, now)
+        self._forget(now)
+        if is_claim(change):
+            return self._guard(self._claims.execute, change.body, now)
         known = self._requests.get(change.request_id)
         if known is not None:
-            return Err(known.failure) if known.failure else Ok(known.applied)
+            return _first_result(known, change)
         result = self._apply(change, now)
         if change.request_id:
             self._requests[change.request_id] = RequestRecord(
@@ -80,9 +122,20 @@
                 time_s=now,
                 applied=result.ok(),
                 failure=result.err(),
+                change_sha256=_digest(change),
             )
         return result
 
+    def _forget(self, now):
+        """Forget the answers that are older than the retention."""
+        limit = now - self._settings.control.request_retention_s
+        # The table is in the order of the log, so the oldest come first.
+        while self._requests:
+            oldest = next(iter(self._requests.values()))
+            if oldest.time_s >= limit:
+                return
+            del self._requests[oldest.request_id]
+
     def _apply(self, change, now):
         state = self._state
         base = change.base_revision
@@ -93,7 +146,7 @@
                 f"{state.operator_revision}",
                 revision=state.operator_revision,
             )
-        result = apply(change.body, state, now)
+        result = self._guard(apply, change.body, state, now)
         if result.is_err():
             return result
         state.revision += 1
@@ -102,3 +155,34 @@
             state.operator_revision = state.revision
         self._history.add(Commit(state.revision, now, change))
         return Ok(Applied(revision=state.revision))
+
+    def _guard(self, function, *arguments):
+        """Reject a change that raises.
+
+        A committed change is executed by every replica and again at each
+        restart, so that an exception would stop the whole quorum for good.
+        """
+        try:
+            return function(*arguments)
+        except Exception as error:  # noqa: BLE001 - see above
+            name = type(arguments[0]).__name__
+            _LOG.exception("agreement: change %s raised", name)
+            return fail(
+                ErrorKind.BAD_REQUEST, f"{name} cannot be applied: {error!r}"
+            )
+
+
+def _first_result(known, change):
+    if known.change_sha256 != _digest(change):
+        return fail(
+            ErrorKind.KEY_REUSED,
+            f"request identifier '{change.request_id}' was used for another "
+            "change",
+        )
+    return Err(known.failure) if known.failure else Ok(known.applied)
+
+
+def _digest(change):
+    """Return the SHA-256 of a change without its revision and identifier."""
+    content = attrs.evolve(change, request_id="", base_revision=0)
+    return hashlib.sha256(encode(content)).digest()
--- a/medlarhollow/control/service.py
+++ b/medlarhollow/control/service.py
@@ -1,7 +1,8 @@
 """Serve changes and status to other processes."""
 
+import time
+
 from ..messages.records import ProposeResponse
-from ..messages.records import ReplicaStatus
 from ..messages.services import ControlBase
 
 __all__ = ["ControlService"]
@@ -22,7 +23,9 @@
     async def Propose(self, stream):
         """Agree on one change and answer what became of it."""
         request = await stream.recv_message()
-        result = await self._replica.propose(request.change)
+        if request is None:
+            return
+        result = await self._replica.propose(request.change, request.forwarded)
         await stream.send_message(
             ProposeResponse(applied=result.ok(), failure=result.err())
         )
@@ -30,11 +33,14 @@
     async def Status(self, stream):
         """Answer the status of this replica."""
         await stream.recv_message()
-        await stream.send_message(
-            ReplicaStatus(revision=self._replica.state.revision)
-        )
+        await stream.send_message(self._replica.status(time.monotonic()))
 
     async def SetReplicas(self, stream):
-        """Add or remove one control replica."""
-        await stream.recv_message()
-        await stream.send_message(ProposeResponse())
+        """Add, move or remove one control replica."""
+        request = await stream.recv_message()
+        if request is None:
+            return
+        result = await self._replica.set_replicas(request)
+        await stream.send_message(
+            ProposeResponse(applied=result.ok(), failure=result.err())
+        )
--- a/medlarhollow/daemon/process.py
+++ b/medlarhollow/daemon/process.py
@@ -11,6 +11,7 @@
 
 from ..admin import make_admin_app
 from ..admin.operators import Operators
+from ..agreement import RaftService
 from ..agreement import Replica
 from ..control import ControlClient
 from ..control import ControlService
@@ -114,7 +115,11 @@
         fleet = FleetService(self._settings, self._source, self._reports)
         if self._replica is None:
             return [fleet]
-        return [fleet, ControlService(self._replica)]
+        return [
+            fleet,
+            ControlService(self._replica),
+            RaftService(self._replica),
+        ]
 
     def _tasks(self):
         yield follow(
--- a/medlarhollow/messages/records.py
+++ b/medlarhollow/messages/records.py
@@ -650,6 +650,7 @@
     last_index: int = 0
     last_term: int = 0
     pre_vote: bool = False
+    voter_incarnation: str = ""
 
 
 @attrs.frozen
@@ -738,6 +739,7 @@
     revision: int = 0
     freshness_age_s: float = 0.0
     replicas: "ReplicaSet | None" = None
+    cluster: str = ""
 
 
 @attrs.frozen
--- a/medlarhollow/settings/generated.py
+++ b/medlarhollow/settings/generated.py
@@ -62,6 +62,7 @@
     history_commits: int = 5000
     claim_retention_s: float = 604800.0
     request_retention_s: float = 86400.0
+    propose_timeout_s: float = 5.0
     vm_lease_s: float = 3.0
 
 
@@ -305,6 +306,13 @@
                 highest=31536000.0,
                 help="Time for which the answer to an operator's change is remembered.",
             ),
+            Option(
+                name="propose_timeout_s",
+                type="float",
+                lowest=0.1,
+                highest=60.0,
+                help="Limit for the agreement on one change.",
+            ),
             Option(
                 name="vm_lease_s",
                 type="float",
