Apply presets, moves, shares, allocators, client blocks and links

Cause: the fleet state rejected every change of these kinds, so no shift, version move or share could be agreed on.

Change: apply() handles all changes of schema/fleet.proto. Leader-only changes with an author are refused in the ledger. effective_weights() gives the region weights in effect. A service changes its version by a move only. Move gets ended_at_s.

A weight or share of 1e308 raised OverflowError in apply; a table entry for it failed first, and figures are bounded now.

--- a/medlarhollow/agreement/ledger.py
+++ b/medlarhollow/agreement/ledger.py
@@ -9,6 +9,7 @@
 from result import Ok
 
 from ..configuration import apply
+from ..configuration import check_author
 from ..configuration import FleetState
 from ..configuration import History
 from ..errors import fail
@@ -93,6 +94,9 @@
                 f"{state.operator_revision}",
                 revision=state.operator_revision,
             )
+        allowed = check_author(change)
+        if allowed.is_err():
+            return allowed
         result = apply(change.body, state, now)
         if result.is_err():
             return result
--- a/medlarhollow/configuration/accounts.py
+++ b/medlarhollow/configuration/accounts.py
@@ -11,6 +11,8 @@
 from ..messages.records import RevokeKey
 from .apply import apply
 from .names import check_name
+from .shares import LARGEST_FIGURE
+from .shares import lower_shares
 
 __all__ = []
 
@@ -25,11 +27,18 @@
     name = check_name("account", account.name)
     if name.is_err():
         return name
-    if not 0 < account.rate_per_s < float("inf"):
-        return fail(ErrorKind.BAD_REQUEST, "rate_per_s must be above 0")
-    if not 1 <= account.burst < float("inf"):
-        return fail(ErrorKind.BAD_REQUEST, "burst must be at least 1")
+    if not 0 < account.rate_per_s <= LARGEST_FIGURE:
+        return fail(
+            ErrorKind.BAD_REQUEST,
+            f"rate_per_s must be above 0 and at most {LARGEST_FIGURE:g}",
+        )
+    if not 1 <= account.burst <= LARGEST_FIGURE:
+        return fail(
+            ErrorKind.BAD_REQUEST,
+            f"burst must be from 1 to {LARGEST_FIGURE:g}",
+        )
     state.accounts[account.name] = account
+    lower_shares(state, account)
     return Ok(None)
 
 
--- /dev/null
+++ b/medlarhollow/configuration/moves.py
@@ -0,0 +1,235 @@
+"""Changes of moves to new versions."""
+
+import math
+
+import attrs
+from result import Ok
+
+from ..errors import fail
+from ..messages.records import ErrorKind
+from ..messages.records import FinishMove
+from ..messages.records import MoveState
+from ..messages.records import RollBackMove
+from ..messages.records import StartMove
+from ..messages.records import StepMove
+from .apply import apply
+from .names import check_name
+from .steps import check_step
+from .steps import check_step_rules
+from .steps import TOLERANCE
+
+__all__ = ["FIRST_STEP", "count_steps"]
+
+# Part of traffic of the first step, so that a version that fails at once
+# costs at most one request in a hundred.
+FIRST_STEP = 0.01
+# Ended moves of a service that are kept for operators to read.
+_KEPT_MOVES = 20
+
+
+def count_steps(fraction, cap):
+    """Return how many steps are needed until a move can be finished.
+
+    Parameters
+    ----------
+    fraction : float
+        The fraction reached.
+    cap : float
+        Largest part of traffic moved in one step.
+
+    Returns
+    -------
+    int
+        Number of steps, the finishing one included.
+
+    Examples
+    --------
+    >>> count_steps(0.0, 0.25)
+    5
+    """
+    first = 0
+    if fraction <= 0:
+        first, fraction = 1, min(FIRST_STEP, cap)
+    return first + max(1, math.ceil((1 - fraction) / cap - TOLERANCE))
+
+
+@apply.register
+def _start_move(change: StartMove, state, now):
+    move = change.move
+    if move is None:
+        return fail(ErrorKind.BAD_REQUEST, "a move is needed")
+    checked = _check_move(move, state, now)
+    if checked.is_err():
+        return checked
+    _forget_moves(state, move.service)
+    state.moves[move.move_id] = attrs.evolve(
+        move,
+        from_version=state.services[move.service].version,
+        started_at_s=now,
+        fraction=0.0,
+        stepped_at_s=0.0,
+        ended_at_s=0.0,
+        state=MoveState.IN_PROGRESS,
+        reason="",
+    )
+    return Ok(None)
+
+
+@apply.register
+def _roll_back_move(change: RollBackMove, state, now):
+    found = _find_move(state, change.move_id)
+    if found.is_err():
+        return found
+    state.moves[change.move_id] = attrs.evolve(
+        found.ok_value,
+        fraction=0.0,
+        stepped_at_s=now,
+        ended_at_s=now,
+        state=MoveState.ROLLED_BACK,
+        reason=change.reason,
+    )
+    return Ok(None)
+
+
+@apply.register
+def _step_move(change: StepMove, state, now):
+    found = _find_move(state, change.move_id)
+    if found.is_err():
+        return found
+    move = found.ok_value
+    checked = check_step(move, change.fraction, move.cap, move.step_s, now)
+    if checked.is_err():
+        return checked
+    if change.fraction <= 0:
+        return fail(
+            ErrorKind.BAD_REQUEST, "a move goes back to 0 by a rollback"
+        )
+    if change.fraction == move.fraction:
+        return fail(
+            ErrorKind.CONFLICT, f"the move is at {move.fraction:g} already"
+        )
+    first = min(FIRST_STEP, move.cap)
+    if move.fraction <= 0 and change.fraction > first + TOLERANCE:
+        return fail(ErrorKind.CONFLICT, f"the first step is at most {first:g}")
+    if change.fraction > move.fraction and now > move.deadline_s:
+        return _fail_late(move)
+    state.moves[change.move_id] = attrs.evolve(
+        move, fraction=change.fraction, stepped_at_s=now
+    )
+    return Ok(None)
+
+
+@apply.register
+def _finish_move(change: FinishMove, state, now):
+    found = _find_move(state, change.move_id)
+    if found.is_err():
+        return found
+    move = found.ok_value
+    if move.fraction <= 0:
+        return fail(
+            ErrorKind.CONFLICT, "a move is not finished in its first step"
+        )
+    # Finishing is the last step and keeps the same rules.
+    checked = check_step(move, 1.0, move.cap, move.step_s, now)
+    if checked.is_err():
+        return checked
+    if now > move.deadline_s:
+        return _fail_late(move)
+    state.moves[change.move_id] = attrs.evolve(
+        move,
+        fraction=1.0,
+        stepped_at_s=now,
+        ended_at_s=now,
+        state=MoveState.FINISHED,
+    )
+    state.services[move.service] = attrs.evolve(
+        state.services[move.service], version=move.to_version
+    )
+    return Ok(None)
+
+
+def _fail_late(move):
+    return fail(
+        ErrorKind.CONFLICT,
+        f"the deadline of move '{move.move_id}' has passed; it can only be "
+        "rolled back",
+    )
+
+
+def _find_move(state, move_id):
+    move = state.moves.get(move_id)
+    if move is None:
+        return fail(ErrorKind.NOT_FOUND, f"no move '{move_id}'")
+    if move.state is not MoveState.IN_PROGRESS:
+        return fail(
+            ErrorKind.CONFLICT,
+            f"move '{move_id}' has ended: {move.state.name.lower()}",
+        )
+    return Ok(move)
+
+
+def _check_move(move, state, now):
+    for kind, name in (
+        ("move", move.move_id),
+        ("version", move.to_version),
+    ):
+        checked = check_name(kind, name)
+        if checked.is_err():
+            return checked
+    service = state.services.get(move.service)
+    if service is None:
+        return fail(ErrorKind.NOT_FOUND, f"no service '{move.service}'")
+    if move.move_id in state.moves:
+        return fail(ErrorKind.CONFLICT, f"move '{move.move_id}' exists")
+    if move.from_version not in ("", service.version):
+        return fail(
+            ErrorKind.CONFLICT,
+            f"'{move.service}' is at version '{service.version}', "
+            f"not '{move.from_version}'",
+        )
+    if move.to_version == service.version:
+        return fail(
+            ErrorKind.CONFLICT,
+            f"'{move.service}' is at version '{service.version}' already",
+        )
+    for other in state.moves.values():
+        if (
+            other.service == move.service
+            and other.state is MoveState.IN_PROGRESS
+        ):
+            return fail(
+                ErrorKind.CONFLICT,
+                f"move '{other.move_id}' of '{move.service}' is in progress",
+            )
+    rules = check_step_rules("cap", move.cap, "step_s", move.step_s)
+    if rules.is_err():
+        return rules
+    return _check_deadline(move, now)
+
+
+def _check_deadline(move, now):
+    if not now < move.deadline_s < math.inf:
+        return fail(ErrorKind.BAD_REQUEST, "deadline_s must be in the future")
+    steps = count_steps(0.0, move.cap)
+    needed_s = (steps - 1) * move.step_s
+    if now + needed_s > move.deadline_s:
+        return fail(
+            ErrorKind.BAD_REQUEST,
+            f"the deadline is {move.deadline_s - now:g} s away; {steps} "
+            f"steps of at most {move.cap:g} need at least {needed_s:g} s",
+        )
+    return Ok(None)
+
+
+def _forget_moves(state, service):
+    ended = sorted(
+        (
+            move
+            for move in state.moves.values()
+            if move.service == service
+            and move.state is not MoveState.IN_PROGRESS
+        ),
+        key=lambda move: (move.ended_at_s, move.move_id),
+    )
+    for move in ended[: max(0, len(ended) - _KEPT_MOVES + 1)]:
+        del state.moves[move.move_id]
--- a/medlarhollow/configuration/services.py
+++ b/medlarhollow/configuration/services.py
@@ -6,6 +6,7 @@
 from ..messages.records import DeleteRoute
 from ..messages.records import DeleteService
 from ..messages.records import ErrorKind
+from ..messages.records import MoveState
 from ..messages.records import PutRoute
 from ..messages.records import PutService
 from .apply import apply
@@ -30,6 +31,13 @@
         )
     if not service.version:
         return fail(ErrorKind.BAD_REQUEST, "a service needs a version")
+    known = state.services.get(service.name)
+    if known is not None and known.version != service.version:
+        return fail(
+            ErrorKind.CONFLICT,
+            f"'{service.name}' is at version '{known.version}'; another "
+            "version takes over by a move",
+        )
     state.services[service.name] = service
     return Ok(None)
 
@@ -48,6 +56,17 @@
             ErrorKind.CONFLICT,
             f"service '{change.name}' is used by the routes {users}",
         )
+    moves = [
+        move for move in state.moves.values() if move.service == change.name
+    ]
+    for move in moves:
+        if move.state is MoveState.IN_PROGRESS:
+            return fail(
+                ErrorKind.CONFLICT,
+                f"move '{move.move_id}' of '{change.name}' is in progress",
+            )
+    for move in moves:
+        del state.moves[move.move_id]
     del state.services[change.name]
     return Ok(None)
 
--- /dev/null
+++ b/medlarhollow/configuration/steps.py
@@ -0,0 +1,78 @@
+"""Rules that steps of shifts and moves have in common."""
+
+import math
+
+from result import Ok
+
+from ..errors import fail
+from ..messages.records import ErrorKind
+
+__all__ = ["TOLERANCE", "check_step", "check_step_rules"]
+
+# Fractions are sums of caps, which binary floating point rounds.
+TOLERANCE = 1e-9
+
+
+def check_step_rules(cap_name, cap, step_name, step_s):
+    """Check the cap and the step time that an operator gives.
+
+    Parameters
+    ----------
+    cap_name, step_name : str
+        Names of the fields, for messages.
+    cap : float
+        Largest part of traffic moved in one step.
+    step_s : float
+        Shortest time between steps in seconds.
+
+    Returns
+    -------
+    result.Result
+        ``Ok(None)`` or ``BAD_REQUEST``.
+    """
+    if not 0 < cap <= 1:
+        return fail(
+            ErrorKind.BAD_REQUEST, f"{cap_name} must be above 0 and at most 1"
+        )
+    if not 0 < step_s < math.inf:
+        return fail(
+            ErrorKind.BAD_REQUEST, f"{step_name} must be above 0 seconds"
+        )
+    return Ok(None)
+
+
+def check_step(record, fraction, cap, step_s, now):
+    """Check that a step keeps the cap and the step time.
+
+    Parameters
+    ----------
+    record : Shift or Move
+        Holds the fraction and the time of the last step.
+    fraction : float
+        The fraction after the step.
+    cap : float
+        Largest part of traffic moved in one step.
+    step_s : float
+        Shortest time between steps in seconds.
+    now : float
+        Unix time in seconds.
+
+    Returns
+    -------
+    result.Result
+        ``Ok(None)``, ``BAD_REQUEST`` or ``CONFLICT``.
+    """
+    if not 0 <= fraction <= 1:
+        return fail(ErrorKind.BAD_REQUEST, "a fraction is from 0 to 1")
+    if abs(fraction - record.fraction) > cap + TOLERANCE:
+        return fail(
+            ErrorKind.CONFLICT,
+            f"a step from {record.fraction:g} to {fraction:g} is more than "
+            f"the cap of {cap:g}",
+        )
+    wait_s = record.stepped_at_s + step_s - now
+    if wait_s > TOLERANCE:
+        return fail(
+            ErrorKind.CONFLICT, f"the next step may be made in {wait_s:g} s"
+        )
+    return Ok(None)
--- /dev/null
+++ b/medlarhollow/configuration/tests/test_presets.py
@@ -0,0 +1,127 @@
+"""Rules of presets and shifts."""
+
+import pytest
+
+from medlarhollow.configuration import effective_weights
+from medlarhollow.configuration import FleetState
+from medlarhollow.messages.records import ActivatePreset
+from medlarhollow.messages.records import DeletePreset
+from medlarhollow.messages.records import ErrorKind
+from medlarhollow.messages.records import PutPreset
+from medlarhollow.messages.records import RegionWeight
+from medlarhollow.messages.records import StepShift
+
+from .samples import accept
+from .samples import make_state
+from .samples import NOW
+from .samples import preset
+from .samples import reject
+
+
+@pytest.mark.parametrize(
+    ("record", "words"),
+    [
+        (None, "a preset is needed"),
+        (preset("no good", {}), "preset name"),
+        (preset("x", {}, cap=0.0), "shift_cap"),
+        (preset("x", {}, cap=float("nan")), "shift_cap"),
+        (preset("x", {}, step_s=0.0), "shift_step_s"),
+        (preset("x", {}, reserve=1.0), "reserve"),
+        (preset("x", {"n": {"": 1.0}}), "region name"),
+        (preset("x", {"n": {"s": -1.0}}), "from 0 to 1e+06"),
+        (preset("x", {"n": {"s": float("nan")}}), "from 0 to 1e+06"),
+        (preset("x", {"n": {"s": 0.0}}), "sum above 0"),
+        (preset("x", {"n": {"s": 1e308, "t": 1e308}}), "from 0 to 1e+06"),
+    ],
+)
+def test_a_faulty_preset_is_rejected(record, words):
+    """Guards steering against weights it cannot use."""
+    reject(make_state(), PutPreset(record), ErrorKind.BAD_REQUEST, words)
+
+
+def test_two_weights_for_one_pair_are_rejected():
+    """One of the two would be lost without a word."""
+    record = preset("x", {})
+    double = (RegionWeight("n", "s", 1.0), RegionWeight("n", "s", 2.0))
+    body = PutPreset(type(record)("x", double, 0.1, 1.0))
+    reject(make_state(), body, ErrorKind.BAD_REQUEST, "two weights")
+
+
+def test_the_first_preset_is_active_and_reached_by_steps():
+    """There must never be presets without an active one, and the first one
+    must not move all traffic at once either."""
+    state = FleetState()
+    assert effective_weights(state) == {}
+    accept(state, PutPreset(preset("all", {"n": {"s": 1.0}})))
+    assert state.shift.preset == "all"
+    assert effective_weights(state) == {"n": {"n": 1.0}}
+    accept(state, StepShift(0.25))
+    assert effective_weights(state) == {"n": {"n": 0.75, "s": 0.25}}
+
+
+def test_the_active_preset_is_not_deleted():
+    """Without an active preset there is no rule for the traffic."""
+    state = make_state()
+    delete = DeletePreset("day")
+    reject(state, delete, ErrorKind.CONFLICT, "is active")
+    accept(state, ActivatePreset("peak"))
+    accept(state, delete)
+    missing = ErrorKind.NOT_FOUND
+    reject(state, ActivatePreset("day"), missing, "no preset 'day'")
+    reject(state, delete, missing, "no preset 'day'")
+
+
+def test_a_second_activation_starts_from_the_weights_in_effect():
+    """Starting from the preset left behind would jump back at once."""
+    state = make_state()
+    accept(state, ActivatePreset("peak"))
+    accept(state, StepShift(0.25))
+    before = effective_weights(state)
+    assert before["n"]["s"] == pytest.approx(0.25 * 0.75)
+    accept(state, ActivatePreset("day"), NOW + 5)
+    assert effective_weights(state) == before
+    step = StepShift(0.25)
+    reject(state, step, ErrorKind.CONFLICT, "may be made in 5", NOW + 5)
+    accept(state, step, NOW + 10)
+    after = effective_weights(state)
+    assert after["n"]["s"] == pytest.approx(0.25 * 0.75 * 0.75)
+
+
+def test_a_second_activation_of_the_same_preset_changes_nothing():
+    """An operator who sends the order twice must not restart the shift."""
+    state = make_state()
+    accept(state, ActivatePreset("peak"))
+    accept(state, StepShift(0.25))
+    shift = state.shift
+    accept(state, ActivatePreset("peak"))
+    assert state.shift == shift
+
+
+def test_new_weights_of_the_active_preset_are_reached_by_steps():
+    """Replacing the active preset would otherwise move all traffic."""
+    state = make_state()
+    accept(state, StepShift(0.25))
+    before = effective_weights(state)
+    accept(state, PutPreset(preset("day", {"n": {"s": 1.0}})))
+    assert effective_weights(state) == before
+    shift = state.shift
+    accept(state, PutPreset(preset("day", {"n": {"s": 2.0}}, cap=0.5)))
+    assert state.shift == shift
+
+
+@pytest.mark.parametrize(
+    ("fraction", "wait_s", "words"),
+    [
+        (0.51, 10.0, "more than the cap"),
+        (0.5, 9.9, "may be made in"),
+        (0.25, 10.0, "would go back"),
+        (0.2, 10.0, "would go back"),
+    ],
+)
+def test_a_step_keeps_cap_and_step_time(fraction, wait_s, words):
+    """Guards the invariant that a shift stays under its cap."""
+    state = make_state()
+    accept(state, ActivatePreset("peak"))
+    accept(state, StepShift(0.25))
+    step = StepShift(fraction)
+    reject(state, step, ErrorKind.CONFLICT, words, NOW + wait_s)
--- /dev/null
+++ b/medlarhollow/configuration/weights.py
@@ -0,0 +1,117 @@
+"""Weights by which the traffic of each region is divided over regions."""
+
+import math
+
+from ..messages.records import RegionWeight
+
+__all__ = [
+    "blend_weights",
+    "effective_weights",
+    "list_weights",
+    "read_weights",
+]
+
+
+def read_weights(weights):
+    """Return weights as rows that sum to 1.
+
+    Parameters
+    ----------
+    weights : iterable of RegionWeight
+        Weights of any scale.
+
+    Returns
+    -------
+    dict of str to dict of str to float
+        For each region of origin, the part of its traffic by destination.
+        A region of origin without a row keeps its own traffic.
+    """
+    rows = {}
+    for weight in weights:
+        if weight.weight > 0:
+            row = rows.setdefault(weight.from_region, {})
+            row[weight.to_region] = weight.weight
+    for row in rows.values():
+        total = math.fsum(row.values())
+        for region in row:
+            row[region] /= total
+    return rows
+
+
+def list_weights(rows):
+    """Return rows as records, in a fixed order.
+
+    Parameters
+    ----------
+    rows : dict of str to dict of str to float
+        From :func:`read_weights` or :func:`blend_weights`.
+
+    Returns
+    -------
+    tuple of RegionWeight
+        The same weights.
+    """
+    return tuple(
+        RegionWeight(origin, region, rows[origin][region])
+        for origin in sorted(rows)
+        for region in sorted(rows[origin])
+    )
+
+
+def blend_weights(base, target, fraction):
+    """Return ``base x (1 - fraction) + target x fraction``.
+
+    Parameters
+    ----------
+    base, target : dict of str to dict of str to float
+        Rows that sum to 1; a region without a row keeps its own traffic.
+    fraction : float
+        From 0 (base) to 1 (target).
+
+    Returns
+    -------
+    dict of str to dict of str to float
+        Rows that sum to 1, without zeros.
+
+    Examples
+    --------
+    >>> blend_weights({}, {"north": {"south": 1.0}}, 0.25)
+    {'north': {'north': 0.75, 'south': 0.25}}
+    """
+    rows = {}
+    for origin in sorted({*base, *target}):
+        before = base.get(origin, {origin: 1.0})
+        after = target.get(origin, {origin: 1.0})
+        row = {
+            region: before.get(region, 0.0) * (1 - fraction)
+            + after.get(region, 0.0) * fraction
+            for region in sorted({*before, *after})
+        }
+        rows[origin] = {key: part for key, part in row.items() if part > 0}
+    return rows
+
+
+def effective_weights(state):
+    """Return the region weights in effect.
+
+    Parameters
+    ----------
+    state : FleetState
+        Holds the presets and the shift to the active one.
+
+    Returns
+    -------
+    dict of str to dict of str to float
+        For each region of origin, the part of its traffic by destination;
+        each row sums to 1. A region without a row keeps its own traffic.
+
+    Notes
+    -----
+    The result depends on the state only, so callers may keep it for as long
+    as the revision stays the same.
+    """
+    shift = state.shift
+    if shift is None:
+        return {}
+    target = read_weights(state.presets[shift.preset].weights)
+    return blend_weights(read_weights(shift.base), target, shift.fraction)
--- a/medlarhollow/messages/records.py
+++ b/medlarhollow/messages/records.py
@@ -256,6 +256,7 @@
     stepped_at_s: float = 0.0
     state: MoveState = MoveState(0)
     reason: str = ""
+    ended_at_s: float = 0.0
 
 
 @attrs.frozen
@@ -435,7 +436,7 @@
 
 @attrs.frozen
 class PutClientBlocks:
-    """Record of PutClientBlocks."""
+    """Sets the region of each block; an empty region removes the block."""
 
     blocks: "tuple[ClientBlock, ...]" = ()
 
@@ -478,7 +479,7 @@
 
 @attrs.frozen
 class SetShares:
-    """Record of SetShares."""
+    """A share without rate and burst is removed."""
 
     shares: "tuple[Share, ...]" = ()
 
