--- a/medlarhollow/agreement/ledger.py
+++ b/medlarhollow/agreement/ledger.py
@@ -13,6 +13,7 @@
 from result import Ok
 
 from ..configuration import apply
+from ..configuration import check_author
 from ..configuration import FleetState
 from ..configuration import History
 from ..errors import fail
@@ -146,6 +147,9 @@
                 f"{state.operator_revision}",
                 revision=state.operator_revision,
             )
+        allowed = check_author(change)
+        if allowed.is_err():
+            return allowed
         result = self._guard(apply, change.body, state, now)
         if result.is_err():
             return result
