Serve the whole administration API from one table

Cause: operators could set accounts, services and routes only, the server made the secrets of keys, and a resent order for a key made a second one.

Change: a table of operations gives paths, methods, records and the OpenAPI description; orders are served by plain functions that know no HTTP. The client makes a key's secret and sends its hash. The request identifier of an order is named after its operator, so that two operators may choose the same. A whole configuration is compared and applied as single changes, each based on the one before. The whole-path test issues its key in the new way, since the answer that it read no longer holds a secret.

--- a/medlarhollow/admin/app.py
+++ b/medlarhollow/admin/app.py
@@ -1,40 +1,40 @@
-"""HTTP application for operators."""
+"""HTTP front end of the administration API."""
 
-import uuid
-
-import cattrs
 from result import Ok
 from starlette.applications import Starlette
+from starlette.exceptions import HTTPException
 from starlette.responses import JSONResponse
 from starlette.routing import Route
 
-from ..configuration import new_key
 from ..entry.answers import answer_failure
 from ..errors import fail
-from ..messages.records import Account
-from ..messages.records import Change
+from ..messages.records import Applied
 from ..messages.records import ErrorKind
-from ..messages.records import IssueKey
-from ..messages.records import PutAccount
-from ..messages.records import PutRoute
-from ..messages.records import PutService
-from ..messages.records import RevokeKey
-from ..messages.records import Route as RouteRecord
-from ..messages.records import Service
+from .documents import Accepted
+from .encoding import from_json
+from .encoding import parse_json
+from .encoding import to_json
+from .openapi import describe_api
+from .openapi import PATH
+from .requests import read_order
+from .table import OPERATIONS
 
 __all__ = ["make_admin_app"]
 
-_CONVERTER = cattrs.Converter(forbid_extra_keys=True)
-_CONVERTER.register_structure_hook(bytes, lambda text, _: bytes.fromhex(text))
+_HTTP_KINDS = {
+    404: ErrorKind.NOT_FOUND,
+    405: ErrorKind.NOT_FOUND,
+    413: ErrorKind.TOO_LARGE,
+}
 
 
-def make_admin_app(replica, operators):
+def make_admin_app(admin, operators):
     """Return the administration API.
 
     Parameters
     ----------
-    replica : Replica
-        Agrees on the changes.
+    admin : FleetAdmin
+        Serves the orders.
     operators : Operators
         Checks tokens.
 
@@ -43,77 +43,89 @@
     starlette.applications.Starlette
         The application, with paths below ``/v1``.
     """
+    description = describe_api()
 
-    async def propose(request, body, extra=None):
-        change = Change(
-            request_id=request.headers.get("x-request-id", uuid.uuid4().hex),
-            base_revision=int(request.headers.get("x-base-revision", "0")),
-            author=request.state.operator,
-            body=body,
-        )
-        result = await replica.propose(change)
-        if result.is_err():
-            return answer_failure(result.err_value)
-        return JSONResponse(
-            {"revision": result.ok_value.revision, **(extra or {})}
-        )
-
-    async def put_account(request):
-        parsed = await _parse(request, Account)
-        if parsed.is_err():
-            return answer_failure(parsed.err_value)
-        return await propose(request, PutAccount(parsed.ok_value))
-
-    async def put_service(request):
-        parsed = await _parse(request, Service)
-        if parsed.is_err():
-            return answer_failure(parsed.err_value)
-        return await propose(request, PutService(parsed.ok_value))
-
-    async def put_route(request):
-        parsed = await _parse(request, RouteRecord)
-        if parsed.is_err():
-            return answer_failure(parsed.err_value)
-        return await propose(request, PutRoute(parsed.ok_value))
-
-    async def issue_key(request):
-        text, record = new_key(request.path_params["account"])
-        return await propose(request, IssueKey(record), {"key": text})
-
-    async def revoke_key(request):
-        return await propose(request, RevokeKey(request.path_params["key"]))
-
-    def guarded(endpoint):
-        async def check(request):
-            token = request.headers.get("authorization", "")
-            name = operators.find(token.removeprefix("Bearer "))
-            if name is None:
-                failure = fail(
-                    ErrorKind.UNAUTHENTICATED, "an operator token is needed"
-                )
-                return answer_failure(failure.err_value)
-            request.state.operator = name
-            return await endpoint(request)
-
-        return check
+    async def read_openapi(request):
+        return JSONResponse(description)
 
     return Starlette(
         routes=[
-            Route("/v1/accounts", guarded(put_account), methods=["PUT"]),
-            Route("/v1/services", guarded(put_service), methods=["PUT"]),
-            Route("/v1/routes", guarded(put_route), methods=["PUT"]),
             Route(
-                "/v1/accounts/{account}/keys",
-                guarded(issue_key),
-                methods=["POST"],
-            ),
-            Route("/v1/keys/{key}", guarded(revoke_key), methods=["DELETE"]),
+                operation.path,
+                _endpoint(operation, admin, operators),
+                methods=[operation.method],
+            )
+            for operation in OPERATIONS
         ]
+        + [Route(PATH, read_openapi, methods=["GET"])],
+        exception_handlers={HTTPException: _answer_http_error},
+    )
+
+
+def _endpoint(operation, admin, operators):
+    async def serve(request):
+        order = await _read(operation, operators, request)
+        if order.is_err():
+            return answer_failure(order.err_value)
+        result = await operation.run(admin, order.ok_value)
+        if result.is_err():
+            return answer_failure(result.err_value)
+        return _answer(result.ok_value, order.ok_value)
+
+    return serve
+
+
+def _answer(value, order):
+    if isinstance(value, Applied):
+        value = Accepted(value.revision, order.request_id)
+    return JSONResponse(to_json(value))
+
+
+async def _read(operation, operators, request):
+    token = request.headers.get("authorization", "")
+    operator = operators.find(token.removeprefix("Bearer "))
+    if operator is None:
+        return fail(ErrorKind.UNAUTHENTICATED, "an operator token is needed")
+    unknown = set(request.query_params) - set(operation.query)
+    if unknown:
+        return fail(
+            ErrorKind.BAD_REQUEST,
+            f"unknown query parameters: {', '.join(sorted(unknown))}",
+        )
+    body = await _read_body(operation, request)
+    if body.is_err():
+        return body
+    return read_order(
+        operator,
+        request.headers.get("x-request-id"),
+        request.headers.get("x-base-revision"),
+        path=dict(request.path_params),
+        query=dict(request.query_params),
+        body=body.ok_value,
     )
 
 
-async def _parse(request, cls):
-    try:
-        return Ok(_CONVERTER.structure(await request.json(), cls))
-    except (ValueError, cattrs.BaseValidationError) as error:
-        return fail(ErrorKind.BAD_REQUEST, f"not a {cls.__name__}: {error!r}")
+async def _read_body(operation, request):
+    if operation.body is None:
+        return Ok(None)
+    data = bytearray()
+    async for chunk in request.stream():
+        data += chunk
+        if len(data) > operation.body_limit_bytes:
+            return fail(
+                ErrorKind.TOO_LARGE,
+                f"the body may have {operation.body_limit_bytes} bytes",
+            )
+    parsed = parse_json(bytes(data))
+    if parsed.is_err():
+        return parsed
+    return from_json(operation.body, parsed.ok_value)
+
+
+async def _answer_http_error(request, error):
+    kind = _HTTP_KINDS.get(error.status_code, ErrorKind.BAD_REQUEST)
+    detail = f"{request.method} {request.url.path}: {error.detail}"
+    response = answer_failure(fail(kind, detail).err_value)
+    response.status_code = error.status_code
+    response.headers.update(error.headers or {})
+    return response
--- a/medlarhollow/daemon/process.py
+++ b/medlarhollow/daemon/process.py
@@ -9,6 +9,7 @@
 import aiohttp
 import attrs
 
+from ..admin import FleetAdmin
 from ..admin import make_admin_app
 from ..admin.operators import Operators
 from ..agreement import Replica
@@ -205,5 +206,8 @@
                 make_announce_app(vm), own.entry.announce_listen, limit_s
             )
         if self._replica is not None:
-            app = make_admin_app(self._replica, Operators(own))
+            admin = FleetAdmin(
+                own, self._replica, self._channels, self._reports
+            )
+            app = make_admin_app(admin, Operators(own))
             yield HttpServer(app, own.admin.listen, limit_s)
--- a/medlarhollow/daemon/tests/test_whole_path.py
+++ b/medlarhollow/daemon/tests/test_whole_path.py
@@ -6,6 +6,7 @@
 import aiohttp
 import pytest
 
+from medlarhollow.configuration import new_key
 from medlarhollow.localfleet import LocalFleet
 
 LIMIT_S = 20.0
@@ -59,10 +60,15 @@
             "/v1/routes",
             {"path_prefix": "/plots", "service": "plots", "idempotent": True},
         )
+        key, record = new_key("crew")
+        order = {
+            "key_id": record.key_id,
+            "secret_sha256": record.secret_sha256.hex(),
+        }
         async with client.post(
-            f"{admin}/v1/accounts/crew/keys", headers=operator
+            f"{admin}/v1/accounts/crew/keys", headers=operator, json=order
         ) as answer:
-            key = (await answer.json())["key"]
+            assert answer.status == 200, await answer.text()
 
         async def get():
             headers = {"x-medlarhollow-key": key}
