Add the operator tool

Cause: operators had no command line; orders had to be sent by hand, and a lost answer left open whether a change was made.

--- /dev/null
+++ b/medlarhollow/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Command line for operators."""
--- /dev/null
+++ b/medlarhollow/cli/tests/conftest.py
@@ -0,0 +1,64 @@
+"""Run the operator tool against a served API."""
+
+import asyncio
+from types import SimpleNamespace
+
+import attrs
+from cleo.io.inputs.argv_input import ArgvInput
+from cleo.io.outputs.buffered_output import BufferedOutput
+import pytest
+
+from medlarhollow.admin import FleetAdmin
+from medlarhollow.admin.tests.fakes import FakeReplica
+from medlarhollow.admin.tests.fakes import FakeReports
+from medlarhollow.admin.tests.fakes import serve_api
+from medlarhollow.cli.main import make_application
+
+
+@attrs.frozen
+class Ran:
+    """Exit code and output of one run."""
+
+    code: int
+    text: str
+    errors: str
+
+
+def run(*arguments):
+    """Run the tool in this thread."""
+    output = BufferedOutput()
+    errors = BufferedOutput()
+    code = make_application().run(
+        ArgvInput(["medlarhollow", *arguments]), output, errors
+    )
+    return Ran(code, output.fetch(), errors.fetch())
+
+
+@pytest.fixture
+def replica():
+    return FakeReplica()
+
+
+@pytest.fixture
+async def api(replica, tmp_path):
+    settings = SimpleNamespace(
+        vm=SimpleNamespace(name="control-1"),
+        control=SimpleNamespace(replicas=()),
+    )
+    admin = FleetAdmin(settings, replica, None, FakeReports())
+    async with serve_api(admin, tmp_path) as served:
+        yield served
+
+
+@pytest.fixture
+def tool(api, tmp_path, monkeypatch):
+    """Run the tool as ana in a thread of its own."""
+    token_file = tmp_path / "token"
+    token_file.write_text("token-of-ana\n")
+    monkeypatch.setenv("MEDLARHOLLOW_ADDRESSES", api.address)
+    monkeypatch.setenv("MEDLARHOLLOW_TOKEN_FILE", str(token_file))
+
+    async def call(*arguments):
+        return await asyncio.to_thread(run, *arguments)
+
+    return call
