--- /dev/null
+++ b/medlarhollow/requests/idempotency.py
@@ -0,0 +1,132 @@
+"""Idempotency keys: UUIDs of version 7, which carry their own age."""
+
+import re
+
+import attrs
+from result import Ok
+
+from ..errors import fail
+from ..messages.records import ErrorKind
+
+__all__ = [
+    "IdempotencyKey",
+    "check_age",
+    "key_window",
+    "parse_idempotency_key",
+]
+
+# RFC 9562: version 7 in the 13th hexadecimal digit, variant 10 in the 17th.
+_VERSION_7 = re.compile(
+    "[0-9a-f]{8}-[0-9a-f]{4}-7[0-9a-f]{3}-[89ab][0-9a-f]{3}-[0-9a-f]{12}"
+)
+_TIME_DIGITS = 12
+# The clock of a caller may be ahead of that of the control leader.
+_FUTURE_LIMIT_S = 300.0
+# The clocks of successive leaders may differ by up to this much before a
+# record that one of them expired could be claimed again under another.
+_MARGIN_LIMIT_S = 3600.0
+_MARGIN_PART = 0.1
+
+
+@attrs.frozen
+class IdempotencyKey:
+    """A well-formed idempotency key.
+
+    Attributes
+    ----------
+    text : str
+        Canonical form, lower case.
+    time_s : float
+        Unix time in seconds at which the caller made it.
+    """
+
+    text: str
+    time_s: float
+
+
+def parse_idempotency_key(text):
+    """Parse the value of an ``Idempotency-Key`` header.
+
+    Parameters
+    ----------
+    text : str
+        A UUID of version 7, with or without double quotes.
+
+    Returns
+    -------
+    result.Result
+        ``Ok(IdempotencyKey)`` or ``BAD_REQUEST``.
+
+    Examples
+    --------
+    >>> parse_idempotency_key("not a UUID").is_err()
+    True
+    """
+    canonical = text.strip().strip('"').lower()
+    if not _VERSION_7.fullmatch(canonical):
+        return fail(
+            ErrorKind.BAD_REQUEST,
+            "Idempotency-Key must be a UUID of version 7, because its time "
+            "tells how old the request is",
+        )
+    milliseconds = int(canonical.replace("-", "")[:_TIME_DIGITS], 16)
+    return Ok(IdempotencyKey(canonical, milliseconds / 1000))
+
+
+def key_window(now, retention_s):
+    """Return the times of keys that are accepted.
+
+    Parameters
+    ----------
+    now : float
+        Unix time in seconds.
+    retention_s : float
+        Time for which claims are kept, in seconds.
+
+    Returns
+    -------
+    tuple of (float, float)
+        Oldest and newest accepted time of a key.
+
+    Notes
+    -----
+    A claim is kept until its key's time plus the retention, at least. The
+    oldest accepted key is younger than that by a margin (a tenth of the
+    retention, at most an hour), so a key whose claim may have expired is
+    never accepted.
+    """
+    margin_s = min(_MARGIN_LIMIT_S, _MARGIN_PART * retention_s)
+    return now - retention_s + margin_s, now + _FUTURE_LIMIT_S
+
+
+def check_age(key, now, retention_s):
+    """Check that a claim on a key would certainly still be known.
+
+    Parameters
+    ----------
+    key : IdempotencyKey
+        The key.
+    now : float
+        Unix time in seconds.
+    retention_s : float
+        Time for which claims are kept, in seconds.
+
+    Returns
+    -------
+    result.Result
+        ``Ok(key)`` or ``BAD_REQUEST``.
+    """
+    oldest, newest = key_window(now, retention_s)
+    if key.time_s < oldest:
+        return fail(
+            ErrorKind.BAD_REQUEST,
+            f"the Idempotency-Key is {now - key.time_s:.0f} s old; at most "
+            f"{now - oldest:.0f} s are allowed",
+        )
+    if key.time_s > newest:
+        return fail(
+            ErrorKind.BAD_REQUEST,
+            f"the Idempotency-Key lies {key.time_s - now:.0f} s in the "
+            f"future; at most {newest - now:.0f} s are allowed",
+        )
+    return Ok(key)
--- /dev/null
+++ b/medlarhollow/requests/tests/test_claims.py
@@ -0,0 +1,249 @@
+"""The claim ledger against fault cases and against a naive model."""
+
+import uuid
+
+from hypothesis import given
+from hypothesis import settings as hypothesis_settings
+from hypothesis import strategies as st
+import pytest
+
+from medlarhollow.messages.records import Claim
+from medlarhollow.messages.records import ClaimStatus
+from medlarhollow.messages.records import CompleteClaim
+from medlarhollow.messages.records import ErrorKind
+from medlarhollow.messages.records import Outcome
+from medlarhollow.messages.records import ReleaseClaim
+from medlarhollow.requests import ClaimLedger
+from medlarhollow.settings.load import parse_settings
+
+NOW = 1_800_000_000.0
+RETENTION_S = 600.0
+OUTCOME = Outcome(status=201, body=b"order 7", body_kept=True)
+
+
+def make_settings():
+    return parse_settings(
+        "[vm]\nname=c\ncluster=x\nregion=r\ndata_centre=d\n"
+        "[peer]\nlisten=127.0.0.1:1\nsecret_file=x\n"
+        f"[control]\nreplicas=127.0.0.1:1\nclaim_retention_s={RETENTION_S}\n"
+    )
+
+
+def make_key(time_s=NOW, number=0):
+    value = int(time_s * 1000) << 80 | 7 << 76 | 2 << 62 | number
+    return str(uuid.UUID(int=value))
+
+
+KEY = make_key()
+
+
+def claim(attempt, fingerprint=b"f", key=KEY):
+    return Claim("crew", key, attempt, fingerprint)
+
+
+def complete(attempt, key=KEY):
+    return CompleteClaim("crew", key, attempt, OUTCOME)
+
+
+def release(attempt, key=KEY):
+    return ReleaseClaim("crew", key, attempt)
+
+
+@pytest.fixture
+def ledger():
+    return ClaimLedger(make_settings())
+
+
+GRANTED = ClaimStatus.GRANTED
+PENDING = ClaimStatus.PENDING
+COMPLETED = ClaimStatus.COMPLETED
+MISMATCHED = ClaimStatus.MISMATCHED
+RELEASED = ClaimStatus.RELEASED
+CASES = {
+    "lost answer, claimed again": [
+        (claim("a"), GRANTED),
+        (claim("a"), GRANTED),
+    ],
+    "resend while running": [(claim("a"), GRANTED), (claim("b"), PENDING)],
+    "resend after the outcome": [
+        (claim("a"), GRANTED),
+        (complete("a"), COMPLETED),
+        (claim("b"), COMPLETED),
+        (claim("a"), COMPLETED),
+    ],
+    "another request under the key": [
+        (claim("a"), GRANTED),
+        (claim("b", b"g"), MISMATCHED),
+        (complete("a"), COMPLETED),
+        (claim("c", b"g"), MISMATCHED),
+    ],
+    "released attempt frees the key": [
+        (claim("a"), GRANTED),
+        (release("a"), RELEASED),
+        (claim("b"), GRANTED),
+        (claim("a"), RELEASED),
+    ],
+    "release overtakes its claim": [
+        (release("a"), RELEASED),
+        (claim("a"), RELEASED),
+        (claim("b"), GRANTED),
+    ],
+    "late release of another attempt": [
+        (claim("a"), GRANTED),
+        (release("b"), RELEASED),
+        (claim("c"), PENDING),
+    ],
+    "completed claim cannot be released": [
+        (claim("a"), GRANTED),
+        (complete("a"), COMPLETED),
+        (release("a"), ErrorKind.CONFLICT),
+        (claim("b"), COMPLETED),
+    ],
+    "outcome of another attempt": [
+        (claim("a"), GRANTED),
+        (complete("b"), ErrorKind.CONFLICT),
+        (claim("c"), PENDING),
+    ],
+    "outcome after the release": [
+        (claim("a"), GRANTED),
+        (release("a"), RELEASED),
+        (complete("a"), ErrorKind.CONFLICT),
+    ],
+    "key of another version": [
+        (claim("a", key=str(uuid.UUID(int=4 << 76))), ErrorKind.BAD_REQUEST),
+    ],
+    "key not in canonical form": [
+        (
+            claim("a", key=make_key(number=0xAB).upper()),
+            ErrorKind.BAD_REQUEST,
+        ),
+    ],
+    "key older than the retention": [
+        (claim("a", key=make_key(NOW - RETENTION_S)), ErrorKind.BAD_REQUEST),
+    ],
+    "key far in the future": [
+        (claim("a", key=make_key(NOW + 400)), ErrorKind.BAD_REQUEST),
+    ],
+    "no account": [(Claim("", KEY, "a", b"f"), ErrorKind.BAD_REQUEST)],
+    "no attempt": [(claim(""), ErrorKind.BAD_REQUEST)],
+}
+
+
+@pytest.mark.parametrize("steps", CASES.values(), ids=CASES.keys())
+@pytest.mark.parametrize("restored", [False, True])
+def test_claims_in_log_order(steps, restored):
+    """Guards each rule of the ledger, also after a restart between any two
+    entries: a wrong grant is a second order."""
+    ledger = ClaimLedger(make_settings())
+    for body, expected in steps:
+        result = ledger.execute(body, NOW)
+        if isinstance(expected, ErrorKind):
+            assert result.err_value.kind is expected
+        else:
+            assert result.ok_value.claim_status is expected
+            if expected is COMPLETED:
+                assert result.ok_value.outcome == OUTCOME
+        if restored:
+            records = ledger.records
+            ledger = ClaimLedger(make_settings())
+            ledger.restore(records)
+            assert ledger.records == records
+
+
+@pytest.mark.parametrize("ahead_s", [0.0, 250.0])
+@pytest.mark.parametrize("body", [complete("a"), release("a"), None])
+def test_expired_record_is_never_claimed_again(body, ahead_s):
+    """Guards against a second execution after the record expired: whenever
+    the record is gone, the key must be refused, also for keys made by a
+    caller whose clock is ahead."""
+    ledger = ClaimLedger(make_settings())
+    key = make_key(NOW + ahead_s)
+    assert ledger.execute(claim("a", key=key), NOW).is_ok()
+    if isinstance(body, CompleteClaim):
+        assert ledger.execute(complete("a", key), NOW).is_ok()
+    kept = []
+    for step in range(0, 2000, 7):
+        result = ledger.execute(claim("b", key=key), NOW + step)
+        if result.is_ok():
+            assert result.ok_value.claim_status in (PENDING, COMPLETED)
+            kept.append(step)
+        else:
+            assert result.err_value.kind is ErrorKind.BAD_REQUEST
+    assert max(kept) > 0.8 * RETENTION_S
+    assert len(ledger.records) == 1, "only the log time is left"
+
+
+def test_records_are_kept_for_the_retention(ledger):
+    """Guards against records that expire early or never."""
+    ledger.execute(claim("a"), NOW)
+    ledger.execute(claim("z", key=make_key(NOW, 1)), NOW + RETENTION_S - 61)
+    assert len(ledger.records) == 3
+    ledger.execute(claim("y", key=make_key(NOW + 600)), NOW + RETENTION_S + 1)
+    assert {record.attempt for record in ledger.records} == {"", "z", "y"}
+
+
+def test_slow_clock_of_a_new_leader_revives_no_key(ledger):
+    """Guards against a second execution when a leader whose clock is behind
+    follows one that has expired the record, with a restart between."""
+    ledger.execute(claim("a"), NOW)
+    ledger.execute(claim("z", key=make_key(NOW + 700)), NOW + 700)
+    restored = ClaimLedger(make_settings())
+    restored.restore(ledger.records)
+    for each in (ledger, restored):
+        result = each.execute(claim("b"), NOW + 10)
+        assert result.err_value.kind is ErrorKind.BAD_REQUEST
+
+
+def test_accounts_do_not_share_keys(ledger):
+    """Guards against one account reading or blocking another's claim."""
+    ledger.execute(claim("a"), NOW)
+    other = Claim("nursery", KEY, "b", b"f")
+    assert ledger.execute(other, NOW).ok_value.claim_status is GRANTED
+
+
+ATTEMPTS = st.sampled_from(["a", "b", "c"])
+STEPS = st.lists(
+    st.tuples(
+        st.sampled_from(["claim", "send", "claim", "complete", "release"]),
+        ATTEMPTS,
+        st.integers(0, 1),
+        st.sampled_from([0, 0, 50, 300, 700, -40]),
+        st.booleans(),
+    ),
+    max_size=60,
+)
+
+
+@hypothesis_settings(max_examples=300, deadline=None)
+@given(STEPS)
+def test_at_most_one_execution_for_each_key(steps):
+    """Guards invariant 10 over random interleavings: entry VMs claim, lose
+    answers, send, complete and release while time passes and replicas
+    restart; a key must run at most once, ever."""
+    ledger = ClaimLedger(make_settings())
+    now = NOW
+    granted, runs, gave_up = set(), {}, set()
+    for action, attempt, number, wait, lost in steps:
+        now += wait
+        key = make_key(NOW, number)
+        who = (attempt, number)
+        if action == "claim":
+            result = ledger.execute(claim(attempt, key=key), now)
+            status = result.is_ok() and result.ok_value.claim_status
+            if status is GRANTED and result.is_ok():
+                assert who not in gave_up, "late claim of a released attempt"
+                if not lost:
+                    granted.add(who)
+        elif action == "send" and who in granted:
+            runs.setdefault(number, set()).add(attempt)
+        elif action == "complete" and attempt in runs.get(number, ()):
+            ledger.execute(complete(attempt, key), now)
+        elif action == "release" and attempt not in runs.get(number, ()):
+            granted.discard(who)
+            if ledger.execute(release(attempt, key), now).is_ok():
+                gave_up.add(who)
+        if lost:
+            records = ledger.records
+            ledger = ClaimLedger(make_settings())
+            ledger.restore(records)
+    assert all(len(attempts) == 1 for attempts in runs.values())
