--- a/Makefile
+++ b/Makefile
@@ -28,6 +28,7 @@
 
 generate: setup
 	$(RUN) tools/generate.py
+	$(RUN) -m medlarhollow.admin > docs/reference/openapi.json
 
 lock: setup
 	$(RUN) tools/lock_requirements.py
