--- a/bench/sync_cost.py
+++ b/bench/sync_cost.py
@@ -14,6 +14,7 @@
 from grpclib.client import Channel
 import grpclib.protocol
 from grpclib.server import Server
+import uvloop
 
 from medlarhollow.configuration import new_key
 from medlarhollow.distribution import FleetCopy
@@ -217,12 +218,12 @@
 
 def run_server(pipe):
     """Entry point of the serving process."""
-    asyncio.run(serve(pipe))
+    uvloop.run(serve(pipe))
 
 
 def run_followers(count, port, pipe):
     """Entry point of the following process."""
-    asyncio.run(follow_many(count, port, pipe))
+    uvloop.run(follow_many(count, port, pipe))
 
 
 def point(count):
