Test control replicas as processes and let the client find the leader

Cause: agreement was only tested in one process, and the client asked the replicas in a fixed order once.

Change: the client remembers the leader, goes through the replicas until the deadline and gives up a silent one early. Tests with real processes kill, freeze and empty replicas.

--- /dev/null
+++ b/medlarhollow/agreement/tests/test_processes.py
@@ -0,0 +1,185 @@
+"""Control replicas as real processes that are killed, frozen and emptied."""
+
+import asyncio
+import shutil
+import signal
+import time
+
+from grpclib.exceptions import GRPCError
+from grpclib.exceptions import StreamTerminatedError
+import pytest
+
+from medlarhollow.control import ControlClient
+from medlarhollow.localfleet import LocalFleet
+from medlarhollow.messages.records import StatusRequest
+from medlarhollow.messages.services import ControlStub
+from medlarhollow.settings import load_settings
+from medlarhollow.transport import call
+from medlarhollow.transport import Channels
+
+from .fakes import put_account
+
+LIMIT_S = 30.0
+ELECTION_S = 0.5
+NAMES = ("control-1", "control-2", "control-3")
+OPTIONS = {
+    "control": {
+        "heartbeat_s": "0.05",
+        "election_timeout_s": str(ELECTION_S),
+        "snapshot_entries": "20",
+    },
+    "peer": {"silence_timeout_s": "0.5"},
+}
+
+
+class Fleet:
+    """Three control replicas and a client."""
+
+    def __init__(self, folder):
+        self.folder = folder
+        self.local = LocalFleet(folder, 3, (("north", "a", 0),), OPTIONS)
+        settings = load_settings(folder / "control-1.ini")
+        self.channels = Channels(settings)
+        self.client = ControlClient(settings, self.channels)
+        self.accepted = {}
+
+    def process(self, name):
+        return self.local.processes[name]
+
+    async def put(self, *names):
+        for name in names:
+            self.accepted[name] = await self._propose(name)
+
+    async def check(self):
+        """Check that each change is still known with its first answer."""
+        for name, applied in self.accepted.items():
+            assert await self._propose(name) == applied, name
+
+    async def _propose(self, name):
+        limit = time.monotonic() + LIMIT_S
+        result = await self.client.propose(put_account(name), limit)
+        assert result.is_ok(), result
+        return result.ok_value
+
+    async def status(self, name):
+        address = self.local.addresses[name].peer
+        stub = ControlStub(self.channels.get(address))
+        try:
+            return await call(stub.Status, StatusRequest(), 1.0)
+        except (GRPCError, StreamTerminatedError, OSError, TimeoutError):
+            self.channels.drop(address)
+            return None
+
+    async def leader(self):
+        for name in NAMES:
+            status = await self.status(name)
+            if status and status.role == "leader":
+                return name
+        return None
+
+    async def eventually(self, check):
+        deadline = time.monotonic() + LIMIT_S
+        while time.monotonic() < deadline:
+            if result := await check():
+                return result
+            await asyncio.sleep(0.02)
+        raise AssertionError(self.process(NAMES[0]).log)
+
+    async def has_vote(self, name):
+        """Return whether a replica votes and has executed everything."""
+        last = max(known.revision for known in self.accepted.values())
+        own = await self.status(name)
+        leader = await self.leader()
+        status = leader and await self.status(leader)
+        return (
+            own
+            and status
+            and own.incarnation
+            and own.revision >= last
+            and any(
+                known.voter and known.incarnation == own.incarnation
+                for known in status.replicas.replicas
+            )
+        )
+
+
+@pytest.fixture
+async def fleet(tmp_path):
+    fleet = Fleet(tmp_path)
+    fleet.local.start()
+    yield fleet
+    fleet.channels.close()
+    fleet.local.kill()
+
+
+async def test_killed_leaders_lose_nothing(fleet):
+    """Guards against a change lost with a leader that is killed, and
+    against a state that a restart of all processes does not bring back."""
+    for number in range(3):
+        await fleet.put(*(f"x{number}-{step}" for step in range(10)))
+        name = await fleet.eventually(fleet.leader)
+        fleet.process(name).kill()
+        await fleet.put(f"y{number}")
+        fleet.process(name).start()
+    for name in NAMES:
+        fleet.process(name).kill()
+    for name in NAMES:
+        fleet.process(name).start()
+    await fleet.check()
+
+
+async def test_frozen_leader_does_not_lead_when_it_returns(fleet):
+    """Guards against a leader that was frozen for longer than an election
+    and, back again, claims a fresh proof or takes changes of its own."""
+    await fleet.put("x")
+    name = await fleet.eventually(fleet.leader)
+    fleet.process(name).send(signal.SIGSTOP)
+    frozen_at = time.monotonic()
+    await fleet.put("y")
+    revision = fleet.accepted["y"].revision
+    await asyncio.sleep(2 * ELECTION_S)
+    fleet.process(name).send(signal.SIGCONT)
+    status = None
+    while status is None:
+        status = await fleet.status(name)
+    frozen_s = time.monotonic() - frozen_at
+    age_s = status.freshness_age_s
+    assert age_s < 0 or age_s > frozen_s - 1.0
+
+    async def follows():
+        status = await fleet.status(name)
+        follower = status and status.role == "follower"
+        return follower and status.revision >= revision
+
+    await fleet.eventually(follows)
+    await fleet.put("z")
+    await fleet.check()
+
+
+async def test_second_disk_is_lost_right_after_a_repair(fleet):
+    """Guards against a repaired replica that counts for the quorum before
+    it holds the data: with the second loss the data would be gone."""
+    await fleet.put(*(f"x{number}" for number in range(50)))
+    for number, name in enumerate(NAMES, start=1):
+        fleet.process(name).kill()
+        shutil.rmtree(fleet.folder / f"{name}.data")
+        fleet.process(name).start()
+        await fleet.eventually(lambda: fleet.has_vote(name))  # noqa: B023
+        await fleet.put(f"y{number}")
+    await fleet.check()
+
+
+async def test_damaged_folder_stops_the_process(fleet):
+    """Guards against a daemon that runs with acknowledged data missing."""
+    await fleet.put("x0", "x1", "x2")
+    process = fleet.process("control-2")
+    process.kill()
+    path = fleet.folder / "control-2.data" / "state"
+    path.write_bytes(path.read_bytes()[:-1])
+    process.start()
+    deadline = time.monotonic() + LIMIT_S
+    while process.exit_code is None and time.monotonic() < deadline:
+        await asyncio.sleep(0.05)
+    assert process.exit_code not in (None, 0)
+    assert "check value does not match" in process.log
+    await fleet.put("y")
--- a/medlarhollow/control/client.py
+++ b/medlarhollow/control/client.py
@@ -1,5 +1,6 @@
 """Propose changes from a VM that is not a control replica."""
 
+import asyncio
 import time
 
 from grpclib.exceptions import GRPCError
@@ -15,6 +16,9 @@
 
 __all__ = ["ControlClient"]
 
+# After each replica was tried once, an election needs some time.
+_ROUND_S = 0.1
+
 
 class ControlClient:
     """Find the leader among the control replicas and propose to it.
@@ -30,6 +34,12 @@
     def __init__(self, settings, channels):
         self._settings = settings
         self._channels = channels
+        self._preferred = ""
+
+    @property
+    def preferred(self):
+        """Address of the replica that is asked first, empty for none."""
+        return self._preferred
 
     async def propose(self, change, deadline_at):
         """Propose a change.
@@ -37,7 +47,8 @@
         Parameters
         ----------
         change : Change
-            It must carry a request identifier, since it may be sent twice.
+            It must carry a request identifier, or be a claim, since it may
+            be sent twice.
         deadline_at : float
             Monotonic time in seconds.
 
@@ -48,19 +59,52 @@
             rejected, or ``NO_QUORUM`` if no replica answered in time; after
             ``NO_QUORUM`` the change may or may not have been accepted.
         """
-        for address in self._settings.control.replicas:
+        request = ProposeRequest(change=change)
+        last = "no control replica answered in time"
+        while time.monotonic() < deadline_at:
+            for address in self._order():
+                left_s = deadline_at - time.monotonic()
+                if left_s <= 0:
+                    break
+                result = await self._ask(address, request, left_s)
+                if result is None:
+                    continue
+                if not _is_passing(result):
+                    return result
+                last = result.err_value.detail
             left_s = deadline_at - time.monotonic()
-            if left_s <= 0:
-                break
-            stub = ControlStub(self._channels.get(address))
-            try:
-                response = await call(
-                    stub.Propose, ProposeRequest(change=change), left_s
-                )
-            except (GRPCError, StreamTerminatedError, OSError):
-                self._channels.drop(address)
-                continue
-            if response.failure is not None:
-                return Err(response.failure)
+            await asyncio.sleep(max(0.0, min(_ROUND_S, left_s)))
+        return fail(ErrorKind.NO_QUORUM, last)
+
+    def _order(self):
+        """Return the addresses in the order in which they are tried."""
+        known = [self._preferred] if self._preferred else []
+        return list(dict.fromkeys([*known, *self._settings.control.replicas]))
+
+    async def _ask(self, address, request, left_s):
+        """Return what a replica answered, or None if it did not."""
+        stub = ControlStub(self._channels.get(address))
+        # A replica that went silent must not use up the whole deadline.
+        limit_s = min(left_s, self._settings.peer.silence_timeout_s)
+        try:
+            response = await call(stub.Propose, request, limit_s)
+        except (GRPCError, StreamTerminatedError, OSError, TimeoutError):
+            self._channels.drop(address)
+            if self._preferred == address:
+                self._preferred = ""
+            return None
+        failure = response.failure
+        if failure is None:
+            self._preferred = address
             return Ok(response.applied)
-        return fail(ErrorKind.NO_QUORUM, "no control replica answered")
+        if failure.kind is ErrorKind.NOT_LEADER and failure.leader:
+            self._preferred = failure.leader
+        elif _is_passing(Err(failure)) and self._preferred == address:
+            self._preferred = ""
+        return Err(failure)
+
+
+def _is_passing(result):
+    """Return whether another replica or a later time may do better."""
+    passing = (ErrorKind.NOT_LEADER, ErrorKind.NO_QUORUM)
+    return result.is_err() and result.err_value.kind in passing
