--- a/medlarhollow/admin/documents.py
+++ b/medlarhollow/admin/documents.py
@@ -72,8 +72,8 @@
 class MoveOrder:
     """Order to move a service to another version by a deadline.
 
-    Without `move_id` the move is named after its request identifier. A
-    `cap` or `step_s` of 0 leaves the choice to the control leader.
+    Without `move_id` the move is named after its request identifier. At
+    most `cap` of traffic moves in one step, and a step lasts `step_s`.
     """
 
     service: str
@@ -81,8 +81,8 @@
     deadline_s: float
     move_id: str = ""
     from_version: str = ""
-    cap: float = 0.0
-    step_s: float = 0.0
+    cap: float = 0.25
+    step_s: float = 30.0
 
 
 @attrs.frozen
@@ -173,8 +173,9 @@
 class Configuration:
     """Whole configuration. A part that is null is left as it is.
 
-    Keys and moves are no part of it: applying an old document must not
-    bring back a revoked key or repeat a move.
+    A service without a version keeps the one that it is at. Keys and moves
+    are no part of it: applying an old document must not bring back a revoked
+    key or repeat a move.
     """
 
     accounts: tuple[Account, ...] | None = None
--- a/medlarhollow/admin/fleet_admin.py
+++ b/medlarhollow/admin/fleet_admin.py
@@ -10,9 +10,9 @@
 
 from ..errors import fail
 from ..messages.codec import encode
+from ..messages.records import Applied
 from ..messages.records import Change
 from ..messages.records import ErrorKind
-from ..messages.records import ProposeRequest
 from ..messages.records import SetReplicasRequest
 from ..messages.records import StatusRequest
 from ..messages.services import ControlStub
@@ -26,7 +26,7 @@
 __all__ = ["FleetAdmin"]
 
 _REPLICA_TIMEOUT_S = 1.0
-_CHANGE_TIMEOUT_S = 5.0
+_CHANGE_TIMEOUT_S = 6.0
 _REPORT_LIMIT_S = 60.0
 _LOST = (GRPCError, StreamTerminatedError, OSError, TimeoutError)
 
@@ -84,17 +84,7 @@
             encode(change)
         except ValueError as error:
             return fail(ErrorKind.BAD_REQUEST, str(error))
-        result = await self._replica.propose(change)
-        if result.is_ok():
-            return result
-        failure = result.err_value
-        if failure.kind is not ErrorKind.NOT_LEADER or not failure.leader:
-            return result
-        return await self._forward(
-            ControlStub(self._channels.get(failure.leader)).Propose,
-            ProposeRequest(change=change, forwarded=True),
-            failure.leader,
-        )
+        return await self._replica.propose(change)
 
     async def set_replica(self, replica, remove):
         """Add or remove one control replica.
@@ -114,11 +104,20 @@
         leader = self._replica.leader_address
         if not leader:
             return fail(ErrorKind.NO_QUORUM, "no control replica leads")
-        return await self._forward(
-            ControlStub(self._channels.get(leader)).SetReplicas,
-            SetReplicasRequest(replica=replica, remove=remove),
-            leader,
-        )
+        stub = ControlStub(self._channels.get(leader))
+        request = SetReplicasRequest(replica=replica, remove=remove)
+        try:
+            answer = await call(stub.SetReplicas, request, _CHANGE_TIMEOUT_S)
+        except _LOST:
+            self._channels.drop(leader)
+            return fail(
+                ErrorKind.NO_QUORUM,
+                f"the leader at {leader} did not answer; the order may be "
+                "sent again",
+            )
+        if answer.failure is not None:
+            return Err(answer.failure)
+        return Ok(answer.applied or Applied(revision=self.state.revision))
 
     async def status(self, now, unix_now):
         """Describe replicas, entry VMs and data centres.
@@ -172,24 +171,6 @@
         prefix = change_request_id(order, "") + "."
         return commits[0].change.request_id.startswith(prefix)
 
-    async def _forward(self, method, request, leader):
-        try:
-            answer = await call(method, request, _CHANGE_TIMEOUT_S)
-        except _LOST:
-            self._channels.drop(leader)
-            return fail(
-                ErrorKind.NO_QUORUM,
-                f"the leader at {leader} did not answer; the order may be "
-                "sent again under the same request id",
-            )
-        if answer.failure is not None:
-            return Err(answer.failure)
-        if answer.applied is None:
-            return fail(
-                ErrorKind.NO_QUORUM, f"the leader at {leader} said nothing"
-            )
-        return Ok(answer.applied)
-
     async def _ask_replicas(self):
         addresses = self._settings.control.replicas
         return tuple(
--- a/medlarhollow/admin/operations.py
+++ b/medlarhollow/admin/operations.py
@@ -180,7 +180,10 @@
         )
     for number, change in enumerate(changes):
         step = attrs.evolve(order, base_revision=base)
-        result = await admin.propose(step, change, _digest(change))
+        # The base is part of the identifier: sent again, the same change on
+        # another base is another order.
+        part = f"{_digest(change)}-{base}"
+        result = await admin.propose(step, change, part)
         if result.is_err():
             return _stopped(result.err_value, number, len(changes), change)
         base = result.ok_value.revision
--- a/medlarhollow/cli/client.py
+++ b/medlarhollow/cli/client.py
@@ -14,7 +14,8 @@
 
 __all__ = ["AdminClient", "get_json"]
 
-_TRY_TIMEOUT_S = 5.0
+# A replica looks for agreement for 5 s before it answers.
+_TRY_TIMEOUT_S = 6.0
 _PAUSE_S = 0.2
 _KINDS = {kind.name.lower(): kind for kind in ErrorKind}
 # Answers after which another replica, or the same one later, may do better.
--- a/medlarhollow/cli/moves.py
+++ b/medlarhollow/cli/moves.py
@@ -77,8 +77,10 @@
         option("within", None, "Deadline from now, such as 30m.", flag=False),
         option("by", None, "Deadline as date and time.", flag=False),
         option("move-id", None, "Name of the move.", flag=False, default=""),
-        option("cap", None, "Largest step, 0 to 1.", flag=False, default="0"),
-        option("step-s", None, "Time of a step.", flag=False, default="0"),
+        option(
+            "cap", None, "Largest step, 0 to 1.", flag=False, default="0.25"
+        ),
+        option("step-s", None, "Seconds of a step.", flag=False, default="30"),
         *CHANGE,
     ]
 
