--- a/medlarhollow/localfleet/backend.py
+++ b/medlarhollow/localfleet/backend.py
@@ -1,43 +1,102 @@
-"""A small fake backend server that announces itself."""
+"""A small fake backend server that announces itself.
+
+It answers every path with what it received. ``GET /load`` reports its load,
+``GET /_fake/executions`` how often it executed each idempotency key, and
+``PUT /_fake/faults`` changes its faults while it runs.
+"""
 
 import argparse
 import asyncio
+import collections
 import contextlib
+import random
+import signal
+import time
 
 import aiohttp
+import attrs
 from starlette.applications import Starlette
 from starlette.responses import JSONResponse
+from starlette.responses import PlainTextResponse
 from starlette.routing import Route
 import uvicorn
 
 from ..transport import parse_address
+from .faults import Faults
+from .faults import LOAD_REPORTS
 
-__all__ = ["make_backend_app"]
+__all__ = ["FakeBackend", "make_backend_app"]
 
 _RENEW_S = 1.0
 _RETRY_S = 0.2
+_ANNOUNCE_TIMEOUT_S = 1.0
+_FOREVER_S = 3600.0
 
 
-def make_backend_app(options):
-    """Return the application of the fake backend server.
+class FakeBackend:
+    """State of one fake backend server.
 
     Parameters
     ----------
     options : argparse.Namespace
-        Name, service and version, which each answer names.
-
-    Returns
-    -------
-    starlette.applications.Starlette
-        Answers every path with what it received.
+        Command line, see :func:`make_parser`.
+    faults : Faults
+        How it misbehaves.
     """
 
-    async def echo(request):
+    def __init__(self, options, faults):
+        self._options = options
+        self._faults = faults
+        self._executions = collections.Counter()
+        self._in_flight = 0
+        self._started_at = time.monotonic()
+
+    @property
+    def in_flight(self):
+        """Number of requests that run."""
+        return self._in_flight
+
+    async def serve(self, request):
+        """Answer a request with what it holds."""
+        self._in_flight += 1
+        try:
+            return await self._answer(request)
+        finally:
+            self._in_flight -= 1
+
+    async def report_load(self, request):
+        """Answer the load, truly or not."""
+        load = self._faults.load(self._in_flight, self._options.slots)
+        return JSONResponse({"load": load, "in_flight": self._in_flight})
+
+    async def list_executions(self, request):
+        """Answer how often each idempotency key was executed."""
+        return JSONResponse(dict(self._executions))
+
+    async def set_faults(self, request):
+        """Change the faults named in the body."""
+        try:
+            self._faults = attrs.evolve(self._faults, **await request.json())
+        except (TypeError, ValueError) as error:
+            return PlainTextResponse(str(error), 400)
+        return JSONResponse(attrs.asdict(self._faults))
+
+    async def _answer(self, request):
+        age_s = time.monotonic() - self._started_at
         body = await request.body()
+        if self._faults.is_silent(age_s):
+            await asyncio.sleep(_FOREVER_S)
+        key = request.headers.get("idempotency-key")
+        if key:
+            self._executions[key] += 1
+        await asyncio.sleep(self._faults.latency_s(age_s, random.random()))
+        if self._faults.fails(age_s, random.random()):
+            return PlainTextResponse("fault ordered by the test", 500)
         return JSONResponse(
             {
-                "server": options.name,
-                "version": options.version,
+                "server": self._options.name,
+                "version": self._options.version,
+                "method": request.method,
                 "path": request.url.path,
                 "query": request.url.query,
                 "headers": dict(request.headers),
@@ -45,65 +104,157 @@
             }
         )
 
+
+def make_backend_app(backend):
+    """Return the application of the fake backend server.
+
+    Parameters
+    ----------
+    backend : FakeBackend
+        Answers the requests.
+
+    Returns
+    -------
+    starlette.applications.Starlette
+        Answers every path.
+    """
     methods = ["GET", "POST", "PUT", "DELETE", "PATCH"]
-    return Starlette(routes=[Route("/{path:path}", echo, methods=methods)])
+    return Starlette(
+        routes=[
+            Route("/load", backend.report_load, methods=["GET"]),
+            Route("/_fake/executions", backend.list_executions),
+            Route("/_fake/faults", backend.set_faults, methods=["PUT"]),
+            Route("/{path:path}", backend.serve, methods=methods),
+        ]
+    )
 
 
-async def announce(options, leaving=False):
-    """Renew the lease once; return whether it was taken."""
+async def announce(client, options, leaving=False):
+    """Announce the server once; return whether an entry VM took it."""
     body = {
         "server_id": options.name,
         "service": options.service,
         "version": options.version,
         "address": options.listen,
         "slots": options.slots,
-        "connections": 400,
+        "connections": options.connections,
         "load_path": "/load",
         "leaving": leaving,
     }
     headers = {"authorization": f"Bearer {options.credential}"}
-    url = f"http://{options.announce}/v1/announce"
-    with contextlib.suppress(aiohttp.ClientError):
-        async with (
-            aiohttp.ClientSession() as client,
-            client.post(url, json=body, headers=headers) as answer,
-        ):
-            return answer.status == 200
+    for address in options.announce:
+        url = f"http://{address}/v1/announce"
+        with contextlib.suppress(aiohttp.ClientError, TimeoutError):
+            async with client.post(url, json=body, headers=headers) as answer:
+                if answer.status == 200:
+                    return True
     return False
 
 
-async def keep_announcing(options):
-    """Renew the lease until cancelled, then say that it leaves."""
-    try:
+async def keep_announcing(options, leaving):
+    """Renew the lease, as leaving once the event `leaving` is set."""
+    timeout = aiohttp.ClientTimeout(_ANNOUNCE_TIMEOUT_S)
+    async with aiohttp.ClientSession(timeout=timeout) as client:
         while True:
-            taken = await announce(options)
-            await asyncio.sleep(_RENEW_S if taken else _RETRY_S)
-    finally:
-        await announce(options, leaving=True)
+            taken = await announce(client, options, leaving.is_set())
+            pause_s = _RENEW_S if taken else _RETRY_S
+            if leaving.is_set():
+                await asyncio.sleep(pause_s)
+                continue
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(pause_s):
+                    await leaving.wait()
+
+
+class _Server(uvicorn.Server):
+    def capture_signals(self):
+        return contextlib.nullcontext()
 
 
 async def run(options):
-    """Serve and announce until a signal to stop."""
+    """Serve and announce until a signal to stop, then drain."""
     host, port = parse_address(options.listen)
-    config = uvicorn.Config(
-        make_backend_app(options), host=host, port=port, access_log=False
+    backend = FakeBackend(options, read_faults(options))
+    server = _Server(
+        uvicorn.Config(
+            make_backend_app(backend),
+            host=host,
+            port=port,
+            access_log=False,
+            log_level="warning",
+            timeout_graceful_shutdown=1,
+        )
     )
-    task = asyncio.create_task(keep_announcing(options))
-    await uvicorn.Server(config).serve()
-    task.cancel()
-    with contextlib.suppress(asyncio.CancelledError):
-        await task
+    leaving = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, leaving.set)
+    serving = asyncio.create_task(server.serve())
+    announcing = asyncio.create_task(keep_announcing(options, leaving))
+    waiting = asyncio.create_task(leaving.wait())
+    await asyncio.wait({serving, waiting}, return_when="FIRST_COMPLETED")
+    if leaving.is_set():
+        await _drain(backend, options)
+    waiting.cancel()
+    announcing.cancel()
+    server.should_exit = True
+    await serving
 
 
-def main():
-    """Run the fake backend server from the command line."""
+async def _drain(backend, options):
+    """Serve on as leaving until the drain time is over and all is done."""
+    stop_at = time.monotonic() + options.drain_s
+    limit_at = stop_at + options.drain_s
+    await asyncio.sleep(options.drain_s)
+    while backend.in_flight and time.monotonic() < limit_at:
+        await asyncio.sleep(0.02)
+
+
+def read_faults(options):
+    """Return the faults that the command line orders."""
+    return Faults(
+        **{
+            field.name: getattr(options, field.name)
+            for field in attrs.fields(Faults)
+        }
+    )
+
+
+def make_parser():
+    """Return the parser of the command line."""
     parser = argparse.ArgumentParser(description=__doc__)
-    for name in ("name", "service", "version", "credential"):
+    for name in ("name", "service", "version", "credential", "listen"):
         parser.add_argument(f"--{name}", required=True)
-    parser.add_argument("--announce", required=True)
-    parser.add_argument("--listen", required=True)
+    parser.add_argument(
+        "--announce",
+        required=True,
+        action="append",
+        help="address of an entry VM; the first that answers is used",
+    )
     parser.add_argument("--slots", type=int, default=8)
-    asyncio.run(run(parser.parse_args()))
+    parser.add_argument("--connections", type=int, default=400)
+    parser.add_argument(
+        "--drain-s",
+        type=float,
+        default=0.5,
+        help="time for which it serves on after SIGTERM, leaving",
+    )
+    for field in attrs.fields(Faults):
+        name = f"--{field.name.replace('_', '-')}"
+        if field.type is bool:
+            parser.add_argument(name, action="store_true")
+        elif field.type is str:
+            parser.add_argument(
+                name, choices=LOAD_REPORTS, default=field.default
+            )
+        else:
+            parser.add_argument(name, type=float, default=field.default)
+    return parser
+
+
+def main():
+    """Run the fake backend server from the command line."""
+    asyncio.run(run(make_parser().parse_args()))
 
 
 if __name__ == "__main__":
--- a/medlarhollow/localfleet/fleet.py
+++ b/medlarhollow/localfleet/fleet.py
@@ -4,6 +4,7 @@
 import hashlib
 import pathlib
 import secrets
+import signal
 
 import attrs
 
@@ -89,15 +90,18 @@
             process.start()
 
     def stop(self):
-        """Stop every process gracefully.
+        """Stop every process gracefully, all at the same time.
 
         Returns
         -------
         dict of int
             Exit codes by name.
         """
+        for process in self._processes.values():
+            process.send(signal.SIGCONT)
+            process.send(signal.SIGTERM)
         return {
-            name: process.stop() for name, process in self._processes.items()
+            name: process.wait() for name, process in self._processes.items()
         }
 
     def kill(self):
@@ -105,7 +109,9 @@
         for process in self._processes.values():
             process.kill()
 
-    def add_backend(self, name, service, version, credential, entry):
+    def add_backend(
+        self, name, service, version, credential, *entries, options=()
+    ):
         """Add a small fake backend server, not yet started.
 
         Parameters
@@ -114,8 +120,11 @@
             What it announces.
         credential : str
             Credential of the service.
-        entry : str
-            Name of the entry VM that it announces itself to.
+        *entries : str
+            Names of the entry VMs that it announces itself to; the first
+            that answers is used.
+        options : tuple of str
+            More of the command line, for example ``("--latency-ms", "5")``.
 
         Returns
         -------
@@ -128,9 +137,11 @@
             *("--service", service),
             *("--version", version),
             *("--credential", credential),
-            *("--announce", self._addresses[entry].announce),
             *("--listen", free_addresses(1)[0]),
+            *options,
         ]
+        for entry in entries:
+            arguments += ["--announce", self._addresses[entry].announce]
         process = LocalProcess(name, arguments, self._folder)
         self._processes[name] = process
         return process
--- a/medlarhollow/localfleet/process.py
+++ b/medlarhollow/localfleet/process.py
@@ -75,6 +75,16 @@
         """
         self.send(signal.SIGCONT)
         self.send(signal.SIGTERM)
+        return self.wait()
+
+    def wait(self):
+        """Wait until the process has ended; kill it after a limit.
+
+        Returns
+        -------
+        int
+            Its exit code; 0 if it was never started.
+        """
         if self._process is None:
             return 0
         try:
