--- a/medlarhollow/messages/records.py
+++ b/medlarhollow/messages/records.py
@@ -256,6 +256,7 @@
     stepped_at_s: float = 0.0
     state: MoveState = MoveState(0)
     reason: str = ""
+    ended_at_s: float = 0.0
 
 
 @attrs.frozen
@@ -435,7 +436,7 @@
 
 @attrs.frozen
 class PutClientBlocks:
-    """Record of PutClientBlocks."""
+    """Sets the region of each block; an empty region removes the block."""
 
     blocks: "tuple[ClientBlock, ...]" = ()
 
@@ -478,7 +479,7 @@
 
 @attrs.frozen
 class SetShares:
-    """Record of SetShares."""
+    """A share without rate and burst is removed."""
 
     shares: "tuple[Share, ...]" = ()
 
@@ -650,6 +651,7 @@
     last_index: int = 0
     last_term: int = 0
     pre_vote: bool = False
+    voter_incarnation: str = ""
 
 
 @attrs.frozen
@@ -738,6 +740,7 @@
     revision: int = 0
     freshness_age_s: float = 0.0
     replicas: "ReplicaSet | None" = None
+    cluster: str = ""
 
 
 @attrs.frozen
