Judge versions, plan moves and run the duties of the control leader

Cause: the leader kept the roster only. Moves and shifts made no steps, accounts had no shares, data centres no allocators, and a new leader took every VM for gone until it had reported.

Change: moves/ holds the judge (betting e-process by route and region with restarts whose parts sum to 1), the watch that asks for good answers since the last step, and plan_move. control/ holds plan functions for shifts, moves, shares and allocators and one task, Duties, in place of _keep_roster. The daemon adds version and demand samples to its reports. An empty share keeps its epoch until it is set empty again, so that its removal can be acknowledged too.

--- a/medlarhollow/configuration/shares.py
+++ b/medlarhollow/configuration/shares.py
@@ -13,7 +13,7 @@
 from .apply import apply
 from .names import check_name
 
-__all__ = ["LARGEST_FIGURE", "list_shares", "lower_shares"]
+__all__ = ["LARGEST_FIGURE", "group_shares", "lower_shares"]
 
 # Sums of rates and of bursts must not overflow.
 LARGEST_FIGURE = 1e12
@@ -21,26 +21,20 @@
 _TOLERANCE = 1e-9
 
 
-def list_shares(state, account):
-    """Return the shares of an account.
+def group_shares(state):
+    """Return the shares of all accounts.
 
     Parameters
     ----------
     state : FleetState
         Holds the shares.
-    account : str
-        Name of the account.
 
     Returns
     -------
-    dict of str to Share
-        By data centre.
+    dict of str to dict of str to Share
+        By account and data centre; accounts without a share are left out.
     """
-    return {
-        place[1]: share
-        for place, share in state.shares.items()
-        if place[0] == account
-    }
+    return _group(state.shares)
 
 
 def lower_shares(state, account):
@@ -53,7 +47,7 @@
     account : Account
         The account with its new figures.
     """
-    shares = list_shares(state, account.name)
+    shares = group_shares(state).get(account.name, {})
     rate = math.fsum(share.rate_per_s for share in shares.values())
     burst = math.fsum(share.burst for share in shares.values())
     rate_part = min(1.0, account.rate_per_s / rate) if rate else 1.0
@@ -71,7 +65,10 @@
 
 @apply.register
 def _set_shares(change: SetShares, state, now):
-    """Set shares; one without rate and burst is removed.
+    """Set shares; one that is empty and set empty again is removed.
+
+    An empty share keeps its epoch until then, so that it is known whether
+    its allocator has taken it over.
 
     The epoch of a share is the revision that set it, so that one number in
     the report of an allocator tells which shares it has taken over.
@@ -85,12 +82,13 @@
         if place in new:
             return fail(ErrorKind.BAD_REQUEST, f"two shares for {place}")
         new[place] = share
-    for name in {share.account for share in change.shares}:
-        checked = _check_sum(state, state.accounts[name], new)
+    old = group_shares(state)
+    for name, shares in _group(new).items():
+        checked = _check_sum(state.accounts[name], old.get(name, {}), shares)
         if checked.is_err():
             return checked
     for place, share in new.items():
-        if share.rate_per_s == share.burst == 0:
+        if _is_empty(share) and _is_empty(state.shares.get(place, share)):
             state.shares.pop(place, None)
         else:
             state.shares[place] = attrs.evolve(share, epoch=state.revision + 1)
@@ -120,6 +118,10 @@
     return Ok(None)
 
 
+def _is_empty(share):
+    return share.rate_per_s == share.burst == 0
+
+
 def _check_share(share, state):
     if share.account not in state.accounts:
         return fail(ErrorKind.NOT_FOUND, f"no account '{share.account}'")
@@ -138,35 +140,23 @@
     return Ok(None)
 
 
-def _check_sum(state, account, new):
+def _check_sum(account, old, new):
     """Check the sum of shares while the change is on its way.
 
     A data centre whose share is raised may learn of it before another one
     learns that its share is lowered, so each share counts as the larger of
     its figures before and after.
     """
-    places = {
-        place for place in (*state.shares, *new) if place[0] == account.name
-    }
-    versions = [
-        [table[place] for table in (state.shares, new) if place in table]
-        for place in places
-    ]
     for field in ("rate_per_s", "burst"):
+        before = {place: getattr(share, field) for place, share in old.items()}
+        after = {place: getattr(share, field) for place, share in new.items()}
         total = math.fsum(
-            max(getattr(share, field) for share in shares)
-            for shares in versions
+            max(before.get(place, 0.0), after.get(place, 0.0))
+            for place in {*before, *after}
         )
         limit = getattr(account, field)
         raised = any(
-            getattr(new[place], field)
-            > (
-                getattr(state.shares[place], field)
-                if place in state.shares
-                else 0
-            )
-            for place in places
-            if place in new
+            figure > before.get(place, 0.0) for place, figure in after.items()
         )
         if raised and total > limit * (1 + _TOLERANCE):
             return fail(
@@ -175,3 +165,10 @@
                 f"{total:g} of {limit:g}; lower the others first",
             )
     return Ok(None)
+
+
+def _group(shares):
+    groups = {}
+    for (account, data_centre), share in shares.items():
+        groups.setdefault(account, {})[data_centre] = share
+    return groups
--- a/medlarhollow/configuration/tests/test_shares.py
+++ b/medlarhollow/configuration/tests/test_shares.py
@@ -5,7 +5,7 @@
 import pytest
 
 from medlarhollow.configuration import check_author
-from medlarhollow.configuration.shares import list_shares
+from medlarhollow.configuration.shares import group_shares
 from medlarhollow.messages.records import Account
 from medlarhollow.messages.records import Allocator
 from medlarhollow.messages.records import Change
@@ -83,8 +83,11 @@
     accept(state, shares(share("a", 60.0), share("b", 40.0)))
     assert {s.epoch for s in state.shares.values()} == {state.revision}
     accept(state, shares(share("a", 0.0, 0.0)))
-    assert set(list_shares(state, "crew")) == {"b"}
-    assert list_shares(state, "crew")["b"].epoch == state.revision - 1
+    empty = group_shares(state)["crew"]["a"]
+    assert (empty.rate_per_s, empty.epoch) == (0.0, state.revision)
+    accept(state, shares(share("a", 0.0, 0.0)))
+    assert set(group_shares(state)["crew"]) == {"b"}
+    assert group_shares(state)["crew"]["b"].epoch == state.revision - 2
 
 
 def test_a_lower_rate_brings_shares_down():
@@ -92,13 +95,13 @@
     state = make_state()
     accept(state, shares(share("a", 60.0, 30.0), share("b", 40.0, 20.0)))
     accept(state, PutAccount(Account("crew", 50.0, 50.0)))
-    found = list_shares(state, "crew")
+    found = group_shares(state)["crew"]
     assert math.fsum(s.rate_per_s for s in found.values()) <= 50.0
     assert found["a"].rate_per_s == pytest.approx(30.0)
     assert found["a"].burst == 30.0
     assert found["a"].epoch == state.revision
     accept(state, PutAccount(Account("crew", 500.0, 25.0)))
-    found = list_shares(state, "crew")
+    found = group_shares(state)["crew"]
     assert found["a"].rate_per_s == pytest.approx(30.0)
     assert found["b"].burst == pytest.approx(10.0)
 
--- /dev/null
+++ b/medlarhollow/control/allocators.py
@@ -0,0 +1,45 @@
+"""Duty of the leader: name the allocator of each data centre."""
+
+from ..messages.records import Allocator
+from ..messages.records import SetAllocator
+from ..messages.records import VmState
+
+__all__ = ["plan_allocators"]
+
+
+def plan_allocators(state, leases, now):
+    """Return the appointments that are due.
+
+    Parameters
+    ----------
+    state : FleetState
+        Holds the roster and the allocators named.
+    leases : LeaseWatch
+        Knows which leases have expired.
+    now : float
+        Monotonic time in seconds.
+
+    Returns
+    -------
+    list of SetAllocator
+        One for each data centre that has a serving VM but no allocator, or
+        one whose lease has certainly expired.
+    """
+    serving = {}
+    for name in sorted(state.vms):
+        vm = state.vms[name]
+        if vm.state is VmState.SERVING:
+            serving.setdefault(vm.data_centre, vm)
+    return [
+        SetAllocator(Allocator(data_centre, vm.name, vm.incarnation))
+        for data_centre, vm in serving.items()
+        if _is_due(state.allocators.get(data_centre), vm, leases, now)
+    ]
+
+
+def _is_due(holder, vm, leases, now):
+    if holder is None:
+        return True
+    if (holder.vm, holder.incarnation) == (vm.name, vm.incarnation):
+        return False
+    return leases.is_over(holder, now)
--- /dev/null
+++ b/medlarhollow/control/duties.py
@@ -0,0 +1,136 @@
+"""Duties of the control leader, run by one task."""
+
+import asyncio
+import logging
+import time
+import uuid
+
+from ..messages.records import Change
+from .allocators import plan_allocators
+from .demand import DemandWatch
+from .leases import LeaseWatch
+from .moves import MoveDuty
+from .roster import plan_roster
+from .shares import plan_shares
+from .shifts import plan_shift
+
+__all__ = ["DUTY_S", "Duties"]
+
+_LOG = logging.getLogger(__name__)
+# Time between two rounds, and time that one sample of a VM covers.
+DUTY_S = 0.5
+# Time in which VMs find a new leader: a silent upstream is left after 2 s.
+_ROSTER_MARGIN_S = 2.0
+
+
+class Duties:
+    """Propose what the leader owes the fleet.
+
+    Parameters
+    ----------
+    settings : Settings
+        Sections ``control`` and ``limits`` are read.
+    replica : Replica
+        The replica of this process.
+    reports : Reports
+        Reports and samples of VMs.
+    """
+
+    def __init__(self, settings, replica, reports):
+        self._settings = settings
+        self._replica = replica
+        self._reports = reports
+        self._round = None
+
+    async def run(self):
+        """Carry out the duties while this replica leads, until cancelled."""
+        while True:
+            await asyncio.sleep(DUTY_S)
+            if not self._replica.is_leader:
+                self._round = None
+                continue
+            for body in self._plan(time.monotonic(), time.time()):
+                await self._propose(body)
+
+    def _plan(self, now, unix_now):
+        if self._round is None:
+            # What was reported before is of an earlier leader's time.
+            self._reports.take_samples()
+            self._round = Round(self._settings, now)
+        reports = self._reports.vms(now, self._settings.control.vm_lease_s)
+        versions, demands = self._reports.take_samples()
+        return self._round.plan(
+            self._replica.state, reports, versions, demands, now, unix_now
+        )
+
+    async def _propose(self, body):
+        change = Change(request_id=uuid.uuid4().hex, body=body)
+        result = await self._replica.propose(change)
+        if result.is_err():
+            _LOG.warning(
+                "control: %s was rejected: %s",
+                type(body).__name__,
+                result.err_value.detail,
+            )
+
+
+class Round:
+    """Plan the changes of each round of one term of leadership.
+
+    Parameters
+    ----------
+    settings : Settings
+        Sections ``control`` and ``limits`` are read.
+    now : float
+        Monotonic time in seconds at which this replica began to lead.
+    """
+
+    def __init__(self, settings, now):
+        self._complete_at = (
+            now + settings.control.vm_lease_s + _ROSTER_MARGIN_S
+        )
+        self._leases = LeaseWatch(settings, now)
+        self._demand = DemandWatch(DUTY_S, now)
+        self._moves = MoveDuty()
+
+    def plan(self, state, reports, versions, demands, now, unix_now):
+        """Return the changes that are due.
+
+        Parameters
+        ----------
+        state : FleetState
+            The agreed state.
+        reports : tuple of VmReport
+            Signs of life that are young enough.
+        versions : iterable of VersionSample
+            Since the last call.
+        demands : iterable of DemandSample
+            Since the last call.
+        now : float
+            Monotonic time in seconds.
+        unix_now : float
+            Unix time in seconds.
+
+        Returns
+        -------
+        list
+            Bodies of changes, in the order in which they are proposed.
+        """
+        # A leader whose clock is behind that of the one before it must not
+        # repeat time that has passed.
+        unix_now = max(unix_now, state.time_s)
+        self._leases.update(reports, now)
+        self._demand.update(demands, now)
+        changes = self._moves.plan(state, versions, unix_now)
+        complete = now >= self._complete_at
+        changes += [
+            change.body for change in plan_roster(state, reports, complete)
+        ]
+        changes += plan_allocators(state, self._leases, now)
+        for change in (
+            plan_shift(state, unix_now),
+            plan_shares(state, self._demand, self._leases, now),
+        ):
+            if change is not None:
+                changes.append(change)
+        return changes
--- /dev/null
+++ b/medlarhollow/control/leases.py
@@ -0,0 +1,99 @@
+"""Signs of life of the allocators of data centres."""
+
+import attrs
+
+__all__ = ["LeaseWatch"]
+
+# An allocator counts its lease from its request, which carries its report. A
+# report may wait 0.5 s at each of two relays, and clocks differ in rate.
+_MARGIN_PART = 0.5
+_FORGET_LEASES = 20.0
+
+
+@attrs.define
+class _Sign:
+    """Last sign of life of one process."""
+
+    at: float
+    share_epoch: int
+
+
+class LeaseWatch:
+    """Know whether the lease of an allocator has certainly expired.
+
+    Parameters
+    ----------
+    settings : Settings
+        Section ``limits`` gives the lease.
+    now : float
+        Monotonic time in seconds at which this replica began to lead. What
+        was renewed under an earlier leader may last for a lease from now.
+    """
+
+    def __init__(self, settings, now):
+        self._lease_s = settings.limits.allocator_lease_s
+        self._since = now
+        self._signs = {}
+
+    def update(self, reports, now):
+        """Take reports of VMs.
+
+        Parameters
+        ----------
+        reports : iterable of VmReport
+            With their ages.
+        now : float
+            Monotonic time in seconds.
+        """
+        for report in reports:
+            place = (report.vm.name, report.vm.incarnation)
+            at = now - report.report_age_s
+            known = self._signs.get(place)
+            if known is None:
+                self._signs[place] = _Sign(at, report.share_epoch)
+            else:
+                known.at = max(known.at, at)
+                known.share_epoch = max(known.share_epoch, report.share_epoch)
+        limit_s = _FORGET_LEASES * self._lease_s
+        for place in [
+            place
+            for place, sign in self._signs.items()
+            if now - sign.at > limit_s
+        ]:
+            del self._signs[place]
+
+    def is_over(self, allocator, now):
+        """Tell whether an allocator can no longer hand out tokens.
+
+        Parameters
+        ----------
+        allocator : Allocator
+            Names a VM and its incarnation.
+        now : float
+            Monotonic time in seconds.
+
+        Returns
+        -------
+        bool
+            True if its last sign of life is older than the lease and a
+            margin. A new incarnation is another process.
+        """
+        sign = self._signs.get((allocator.vm, allocator.incarnation))
+        last = self._since if sign is None else max(self._since, sign.at)
+        return now - last > self._lease_s * (1 + _MARGIN_PART)
+
+    def share_epoch(self, allocator):
+        """Return the epoch of the shares that an allocator has taken over.
+
+        Parameters
+        ----------
+        allocator : Allocator
+            Names a VM and its incarnation.
+
+        Returns
+        -------
+        int
+            0 if it has not reported any.
+        """
+        sign = self._signs.get((allocator.vm, allocator.incarnation))
+        return 0 if sign is None else sign.share_epoch
--- /dev/null
+++ b/medlarhollow/control/tests/test_allocators.py
@@ -0,0 +1,111 @@
+"""At no time may two VMs hand out the share of one data centre."""
+
+import attrs
+import pytest
+
+from medlarhollow.control.allocators import plan_allocators
+from medlarhollow.messages.records import Allocator
+from medlarhollow.messages.records import SetAllocator
+from medlarhollow.messages.records import SetVm
+from medlarhollow.messages.records import VmState
+
+from .fleet import accept
+from .fleet import LEASE_S
+from .fleet import make_leases
+from .fleet import make_state
+from .fleet import report
+from .fleet import vm
+
+
+def held_state(*names):
+    """Return a state in which the first VM is the allocator."""
+    state = make_state(*names)
+    accept(state, SetAllocator(Allocator("dc-a", names[0], "i1")))
+    return state
+
+
+def planned(state, leases, now):
+    """Return the VMs that the leader would name, by data centre."""
+    return {
+        change.allocator.data_centre: (
+            change.allocator.vm,
+            change.allocator.incarnation,
+        )
+        for change in plan_allocators(state, leases, now)
+    }
+
+
+def test_each_data_centre_gets_an_allocator():
+    """Without one, a data centre could hand out no tokens."""
+    state = make_state("a1", "a2", "b1")
+    first = planned(state, make_leases(), 0.0)
+    assert first == {"dc-a": ("a1", "i1"), "dc-b": ("b1", "i1")}
+    for change in plan_allocators(state, make_leases(), 0.0):
+        accept(state, change)
+    assert planned(state, make_leases(), 0.0) == {}
+
+
+def test_a_draining_vm_is_not_named_but_keeps_its_lease():
+    """It stops soon; while it renews, a second one would overspend."""
+    state = held_state("a1", "a2")
+    accept(state, SetVm(vm("a1", state=VmState.DRAINING)))
+    leases = make_leases()
+    leases.update([report(vm("a1"))], 100.0)
+    assert planned(state, leases, 100.0) == {}
+    state.allocators.clear()
+    assert planned(state, leases, 100.0) == {"dc-a": ("a2", "i1")}
+
+
+@pytest.mark.parametrize(
+    ("after_s", "is_due"),
+    [(0.0, False), (LEASE_S + 0.1, False), (LEASE_S * 1.5 + 0.1, True)],
+)
+def test_another_is_named_only_after_lease_and_margin(after_s, is_due):
+    """The holder counts its lease by its own clock and may still spend."""
+    state = held_state("a1", "a2")
+    accept(state, SetVm(vm("a1", state=VmState.GONE)))
+    leases = make_leases()
+    leases.update([report(vm("a1"))], 100.0)
+    found = planned(state, leases, 100.0 + after_s)
+    assert found == ({"dc-a": ("a2", "i1")} if is_due else {})
+
+
+def test_an_aged_report_counts_from_when_it_was_made():
+    """Relays pass on the reports of VMs that have died since."""
+    state = held_state("a1", "a2")
+    accept(state, SetVm(vm("a1", state=VmState.GONE)))
+    leases = make_leases()
+    leases.update([report(vm("a1"))], 100.0)
+    leases.update([report(vm("a1"), age_s=2.5)], 102.5)
+    assert planned(state, leases, 100.0 + LEASE_S * 1.5 + 0.1)
+
+
+def test_a_new_leader_waits_for_a_whole_lease():
+    """It has no signs of life, which is not the same as a dead holder."""
+    state = held_state("a1", "a2")
+    accept(state, SetVm(vm("a1", state=VmState.GONE)))
+    leases = make_leases(now=100.0)
+    assert planned(state, leases, 100.0 + LEASE_S) == {}
+    assert planned(state, leases, 100.0 + LEASE_S * 1.5 + 0.1)
+
+
+def test_a_new_incarnation_waits_for_the_lease_of_the_old_one():
+    """A restarted VM is another process: it begins with no tokens, and what
+    the old one handed out may still be spent."""
+    state = held_state("a1")
+    leases = make_leases()
+    leases.update([report(vm("a1"))], 100.0)
+    accept(state, SetVm(vm("a1", "i2")))
+    leases.update([report(vm("a1", "i2"))], 101.0)
+    assert planned(state, leases, 101.0) == {}
+    leases.update([report(vm("a1", "i2"))], 106.0)
+    assert planned(state, leases, 106.0) == {"dc-a": ("a1", "i2")}
+
+
+def test_a_frozen_holder_is_replaced_although_the_roster_names_it():
+    """A roster change that is delayed must not delay the tokens."""
+    state = held_state("a1", "a2")
+    leases = make_leases()
+    leases.update([report(vm("a1"))], 100.0)
+    state.vms["a1"] = attrs.evolve(state.vms["a1"], state=VmState.DRAINING)
+    assert planned(state, leases, 105.0) == {"dc-a": ("a2", "i1")}
--- /dev/null
+++ b/medlarhollow/control/tests/test_duties.py
@@ -0,0 +1,147 @@
+"""One term of leadership, from its first round on."""
+
+import asyncio
+import time
+
+import attrs
+from result import Ok
+
+from medlarhollow.control import duties as duties_module
+from medlarhollow.control.duties import Duties
+from medlarhollow.control.duties import Round
+from medlarhollow.control.roster import plan_roster
+from medlarhollow.distribution import Reports
+from medlarhollow.messages.records import ActivatePreset
+from medlarhollow.messages.records import DemandSample
+from medlarhollow.messages.records import Preset
+from medlarhollow.messages.records import PutPreset
+from medlarhollow.messages.records import RegionWeight
+from medlarhollow.messages.records import SetVm
+from medlarhollow.messages.records import SyncRequest
+from medlarhollow.messages.records import VmState
+
+from .fleet import accept
+from .fleet import make_state
+from .fleet import report
+from .fleet import Settings
+from .fleet import vm
+
+UNIX = 1000.0
+
+
+def step(leader, state, now, reports=(), demands=()):
+    """Run one round and apply what it plans; return the kinds of change."""
+    unix = UNIX + now
+    bodies = leader.plan(state, reports, (), demands, now, unix)
+    for body in bodies:
+        accept(state, body, unix)
+    return [type(body).__name__ for body in bodies]
+
+
+def test_a_new_leader_does_not_take_the_fleet_for_gone():
+    """It has no reports at first; an empty roster would stop all look-ups."""
+    state = make_state("a1", "b1")
+    leader = Round(Settings, 0.0)
+    step(leader, state, 0.5)
+    step(leader, state, 2.0, [report(vm("a1"))])
+    assert set(state.vms) == {"a1", "b1"}
+    step(leader, state, 6.0, [report(vm("a1"))])
+    assert set(state.vms) == {"a1"}
+
+
+def test_an_unchanged_fleet_commits_nothing():
+    """Ten thousand changes a day must not drown in the leader's own."""
+    state = make_state("a1", "b1")
+    leader = Round(Settings, 0.0)
+    reports = [report(vm("a1")), report(vm("b1"))]
+    first = step(leader, state, 0.5, reports)
+    assert sorted(first) == ["SetAllocator", "SetAllocator", "SetShares"]
+    demands = [DemandSample("crew", "dc-a", 5.0, 0.0)]
+    for number in range(2, 100):
+        assert step(leader, state, number * 0.5, reports, demands) == []
+
+
+def test_a_shift_reaches_its_preset_by_steps():
+    """A preset that an operator selects must come into effect by itself."""
+    state = make_state("a1")
+    away = (RegionWeight("n", "s", 1.0),)
+    accept(state, PutPreset(Preset("day", (), 0.3, 2.0)), UNIX)
+    accept(state, PutPreset(Preset("away", away, 0.3, 2.0)), UNIX)
+    accept(state, ActivatePreset("away"), UNIX)
+    leader = Round(Settings, 0.0)
+    fractions = []
+    for number in range(1, 40):
+        step(leader, state, number * 0.5, [report(vm("a1"))])
+        if state.shift.fraction not in fractions:
+            fractions.append(state.shift.fraction)
+    assert [round(part, 6) for part in fractions] == [0.3, 0.6, 0.9, 1.0]
+
+
+def test_a_leader_whose_clock_is_behind_plans_nothing_that_is_rejected():
+    """The clocks of control replicas differ; time in the agreed state must
+    not run backward."""
+    state = make_state("a1")
+    away = (RegionWeight("n", "s", 1.0),)
+    accept(state, PutPreset(Preset("away", away, 0.3, 2.0)), UNIX)
+    state.time_s = UNIX + 60
+    leader = Round(Settings, 0.0)
+    leader.plan(state, (), (), (), 0.5, UNIX)
+    bodies = leader.plan(state, (), (), (), 1.0, UNIX - 60)
+    assert "StepShift" in [type(body).__name__ for body in bodies]
+
+
+def test_a_draining_vm_changes_its_state_on_the_roster():
+    """Look-ups stop naming a VM once its state is known everywhere."""
+    state = make_state("a1")
+    draining = vm("a1", state=VmState.DRAINING)
+    changes = plan_roster(state, (report(draining),))
+    assert [change.body for change in changes] == [SetVm(draining)]
+    accept(state, changes[0].body)
+    assert plan_roster(state, (report(draining),)) == []
+
+
+def test_a_vm_that_says_goodbye_is_removed_once():
+    """Its last report is seen for seconds and must not be committed in every
+    round; a late one of an old process must not remove its successor."""
+    state = make_state("a1")
+    gone = report(vm("a1", state=VmState.GONE))
+    old = report(vm("a1", "i0", state=VmState.GONE))
+    assert plan_roster(state, (old,), complete=False) == []
+    changes = plan_roster(state, (gone,))
+    accept(state, changes[0].body)
+    assert len(changes) == 1
+    assert plan_roster(state, (gone,)) == []
+
+
+@attrs.define
+class FakeReplica:
+    """Apply proposals at once."""
+
+    state: object
+    is_leader: bool = True
+    proposals: list = attrs.field(factory=list)
+
+    async def propose(self, change):
+        self.proposals.append(change)
+        accept(self.state, change.body)
+        return Ok(None)
+
+
+async def test_only_the_leader_proposes(monkeypatch):
+    """Proposals of a follower would be answered with an error each time."""
+    monkeypatch.setattr(duties_module, "DUTY_S", 0.01)
+    replica = FakeReplica(make_state(), is_leader=False)
+    reports = Reports()
+    reports.add(SyncRequest(reports=(report(vm("a1")),)), time.monotonic())
+    task = asyncio.create_task(Duties(Settings, replica, reports).run())
+    await asyncio.sleep(0.1)
+    assert replica.proposals == []
+    replica.is_leader = True
+    async with asyncio.timeout(10):
+        while len(replica.proposals) < 2:
+            await asyncio.sleep(0.01)
+    task.cancel()
+    kinds = [type(change.body).__name__ for change in replica.proposals]
+    assert kinds[0] == "SetVm"
+    assert all(change.request_id for change in replica.proposals)
+    assert not any(change.author for change in replica.proposals)
--- a/medlarhollow/daemon/process.py
+++ b/medlarhollow/daemon/process.py
@@ -7,14 +7,14 @@
 import uuid
 
 import aiohttp
-import attrs
 
 from ..admin import make_admin_app
 from ..admin.operators import Operators
 from ..agreement import Replica
 from ..control import ControlClient
 from ..control import ControlService
-from ..control.roster import plan_roster
+from ..control.duties import Duties
+from ..control.duties import DUTY_S
 from ..distribution import FleetCopy
 from ..distribution import follow
 from ..distribution import Reports
@@ -23,6 +23,7 @@
 from ..entry import make_caller_app
 from ..limits import Limiter
 from ..membership import Directory
+from ..messages.records import SyncRequest
 from ..messages.records import Vm
 from ..messages.records import VmReport
 from ..messages.records import VmState
@@ -36,7 +37,6 @@
 __all__ = ["run_process"]
 
 _LOG = logging.getLogger(__name__)
-_ROSTER_S = 0.5
 
 
 async def run_process(settings):
@@ -128,8 +128,10 @@
         if "entry" in self._settings.vm.roles:
             yield self._limiter.run()
             yield self._dispatcher.run()
+            yield self._report_samples()
         if self._replica is not None:
-            yield self._keep_roster()
+            duties = Duties(self._settings, self._replica, self._reports)
+            yield duties.run()
 
     def _source(self):
         if self._replica is not None and self._replica.is_leader:
@@ -155,18 +157,18 @@
             state=self._state,
         )
 
-    async def _keep_roster(self):
-        """Bring the roster up to date while this replica leads."""
+    async def _report_samples(self):
+        """Pass on what this VM measured; Sync requests carry it away."""
         while True:
-            await asyncio.sleep(_ROSTER_S)
-            if not self._replica.is_leader:
-                continue
-            alive = self._reports.vms(
-                time.monotonic(), self._settings.control.vm_lease_s
+            await asyncio.sleep(DUTY_S)
+            now = time.monotonic()
+            self._reports.add(
+                SyncRequest(
+                    versions=self._samples.take(),
+                    demands=self._limiter.demands(now),
+                ),
+                now,
             )
-            for change in plan_roster(self._replica.state, alive):
-                named = attrs.evolve(change, request_id=uuid.uuid4().hex)
-                await self._replica.propose(named)
 
     async def _serve_front_doors(self):
         timeout = aiohttp.ClientTimeout(
--- a/medlarhollow/messages/records.py
+++ b/medlarhollow/messages/records.py
@@ -479,7 +479,7 @@
 
 @attrs.frozen
 class SetShares:
-    """A share without rate and burst is removed."""
+    """An empty share that is set empty again is removed."""
 
     shares: "tuple[Share, ...]" = ()
 
