--- a/medlarhollow/daemon/process.py
+++ b/medlarhollow/daemon/process.py
@@ -8,8 +8,10 @@
 
 import aiohttp
 
+from ..admin import FleetAdmin
 from ..admin import make_admin_app
 from ..admin.operators import Operators
+from ..agreement import RaftService
 from ..agreement import Replica
 from ..control import ControlClient
 from ..control import ControlService
@@ -114,7 +116,11 @@
         fleet = FleetService(self._settings, self._source, self._reports)
         if self._replica is None:
             return [fleet]
-        return [fleet, ControlService(self._replica)]
+        return [
+            fleet,
+            ControlService(self._replica),
+            RaftService(self._replica),
+        ]
 
     def _tasks(self):
         yield follow(
@@ -207,5 +213,8 @@
                 make_announce_app(vm), own.entry.announce_listen, limit_s
             )
         if self._replica is not None:
-            app = make_admin_app(self._replica, Operators(own))
+            admin = FleetAdmin(
+                own, self._replica, self._channels, self._reports
+            )
+            app = make_admin_app(admin, Operators(own))
             yield HttpServer(app, own.admin.listen, limit_s)
