Give out rate and burst by token escrow

Cause: the limiter admitted every request, so nothing held an account to its rate and burst.

Change: EscrowBucket hands out batches under a lease and counts them until they are reported, given back or ended. ShareAllocator holds a data centre's buckets while the state names this VM and its proof of freshness is young; a successor waits for the allocator lease and a batch lease after it sees its naming. Wallet and Limiter draw batches sized by demand, near allocators first, and keep waiting requests in order for each account. Sync reports carry demands and the epoch of the shares in force. AcquireTokens reports batches one by one, cumulatively, so that a repeated report counts once. A control process without the role entry no longer names a caller address. Until the leader's own plan is merged, control/shares_default.py sets equal shares.

--- a/medlarhollow/daemon/fleet_service.py
+++ b/medlarhollow/daemon/fleet_service.py
@@ -1,8 +1,9 @@
 """Serve the services between VMs."""
 
+import time
+
 from ..distribution import serve_sync
 from ..messages.records import CreditResponse
-from ..messages.records import TokenResponse
 from ..messages.services import FleetBase
 
 __all__ = ["FleetService"]
@@ -19,12 +20,15 @@
         Returns the `Replica` or `FleetCopy` to serve from.
     reports : Reports
         Takes the reports of downstream VMs.
+    allocator : ShareAllocator
+        Hands out tokens of the data centre's shares.
     """
 
-    def __init__(self, settings, source, reports):
+    def __init__(self, settings, source, reports, allocator):
         self._settings = settings
         self._source = source
         self._reports = reports
+        self._allocator = allocator
 
     async def Sync(self, stream):
         """Serve the agreed state to one downstream VM."""
@@ -37,8 +41,10 @@
 
     async def AcquireTokens(self, stream):
         """Hand out tokens of this data centre's share."""
-        await stream.recv_message()
-        await stream.send_message(TokenResponse())
+        request = await stream.recv_message()
+        if request is not None:
+            now = time.monotonic()
+            await stream.send_message(self._allocator.acquire(request, now))
 
     async def AcquireCredit(self, stream):
         """Grant credit for requests from another data centre."""
--- a/medlarhollow/daemon/process.py
+++ b/medlarhollow/daemon/process.py
@@ -15,6 +15,7 @@
 from ..control import ControlClient
 from ..control import ControlService
 from ..control.roster import plan_roster
+from ..control.shares_default import plan_default_shares
 from ..distribution import FleetCopy
 from ..distribution import follow
 from ..distribution import Reports
@@ -22,7 +23,9 @@
 from ..entry import make_announce_app
 from ..entry import make_caller_app
 from ..limits import Limiter
+from ..limits import ShareAllocator
 from ..membership import Directory
+from ..messages.records import SyncRequest
 from ..messages.records import Vm
 from ..messages.records import VmReport
 from ..messages.records import VmState
@@ -73,7 +76,16 @@
         self._state = VmState.SERVING
         self._incarnation = uuid.uuid4().hex
         self._directory = Directory(settings)
-        self._limiter = Limiter(settings, self._copy, self._channels)
+        self._allocator = ShareAllocator(
+            settings, self._copy, self._incarnation
+        )
+        self._limiter = Limiter(
+            settings,
+            self._copy,
+            self._channels,
+            self._allocator,
+            self._incarnation,
+        )
         self._dispatcher = Dispatcher(
             settings, self._copy, self._directory, self._channels
         )
@@ -111,7 +123,9 @@
         return 0
 
     def _services(self):
-        fleet = FleetService(self._settings, self._source, self._reports)
+        fleet = FleetService(
+            self._settings, self._source, self._reports, self._allocator
+        )
         if self._replica is None:
             return [fleet]
         return [fleet, ControlService(self._replica)]
@@ -137,10 +151,13 @@
         return self._copy
 
     def _own_report(self, now):
+        demands = self._limiter.demands(now)
+        self._reports.add(SyncRequest(demands=demands), now)
         return VmReport(
             vm=self._own_vm(),
             revision=self._copy.state.revision,
             freshness_age_s=self._copy.freshness_age_s(now),
+            share_epoch=self._allocator.share_epoch(now),
         )
 
     def _own_vm(self):
@@ -150,11 +167,17 @@
             incarnation=self._incarnation,
             region=own.vm.region,
             data_centre=own.vm.data_centre,
-            caller_address=own.entry.advertise or own.entry.listen,
+            caller_address=self._caller_address(),
             peer_address=own.peer.advertise or own.peer.listen,
             state=self._state,
         )
 
+    def _caller_address(self):
+        own = self._settings
+        if "entry" not in own.vm.roles:
+            return ""
+        return own.entry.advertise or own.entry.listen
+
     async def _keep_roster(self):
         """Bring the roster up to date while this replica leads."""
         while True:
@@ -164,7 +187,11 @@
             alive = self._reports.vms(
                 time.monotonic(), self._settings.control.vm_lease_s
             )
-            for change in plan_roster(self._replica.state, alive):
+            state = self._replica.state
+            for change in [
+                *plan_roster(state, alive),
+                *plan_default_shares(state),
+            ]:
                 named = attrs.evolve(change, request_id=uuid.uuid4().hex)
                 await self._replica.propose(named)
 
--- a/medlarhollow/limits/__init__.py
+++ b/medlarhollow/limits/__init__.py
@@ -1,5 +1,6 @@
 """Shares of the rate and burst of client accounts."""
 
+from .allocator import ShareAllocator
 from .limiter import Limiter
 
-__all__ = ["Limiter"]
+__all__ = ["Limiter", "ShareAllocator"]
--- a/medlarhollow/limits/limiter.py
+++ b/medlarhollow/limits/limiter.py
@@ -1,9 +1,66 @@
 """Admit the requests of client accounts on one entry VM."""
 
+import asyncio
+import collections
+import itertools
+import logging
+import time
+
+import attrs
+from grpclib.exceptions import GRPCError
+from grpclib.exceptions import StreamTerminatedError
 from result import Ok
 
+from ..errors import fail
+from ..messages.records import DemandSample
+from ..messages.records import ErrorKind
+from ..messages.records import TokenRequest
+from ..messages.services import FleetStub
+from ..transport import call
+from .sources import list_sources
+from .wallet import Wallet
+
 __all__ = ["Limiter"]
 
+_LOG = logging.getLogger(__name__)
+# Several round trips between regions (40 ms each), one of them to connect.
+_CALL_TIMEOUT_S = 0.25
+_SHORTEST_WAIT_S = 0.005
+_LONGEST_WAIT_S = 0.25
+# An allocator that did not answer is not asked again for the shorter time,
+# doubled with each failure up to the longer one: after one lost answer a
+# request can still be admitted within its wait limit.
+_SHORTEST_AVOID_S = 0.25
+_LONGEST_AVOID_S = 2.0
+# Bounds the calls for one account that has used up its rate.
+_REMOTE_ROUND_S = 0.1
+_REMOTE_ROUND_SOURCES = 6
+# Parts of a batch's lease: time between settlements, and the end in which
+# unspent tokens are given back.
+_SETTLE_PART = 0.1
+_GIVE_BACK_PART = 0.35
+_DEMAND_PERIOD_S = 1.0
+
+
+@attrs.define
+class _Line:
+    """The requests of one account that wait, and its tokens."""
+
+    wallet: Wallet
+    waiters: collections.deque = attrs.field(factory=collections.deque)
+    fetching: object = None
+    remote_at: float = float("-inf")
+    arrivals: int = 0
+    refusals: int = 0
+
+
+@attrs.frozen
+class _Failures:
+    """Failures of an allocator since its last answer."""
+
+    count: int
+    avoid_until: float
+
 
 class Limiter:
     """Admit requests within their account's rate and burst.
@@ -16,15 +73,37 @@
         The agreed state.
     channels : Channels
         Connections to the allocators.
+    allocator : ShareAllocator or None
+        Allocator of this VM, asked without a connection.
+    incarnation : str
+        Incarnation of this VM.
     """
 
-    def __init__(self, settings, copy, channels):
+    def __init__(
+        self, settings, copy, channels, allocator=None, incarnation=""
+    ):
         self._settings = settings
         self._copy = copy
         self._channels = channels
+        self._allocator = allocator
+        self._incarnation = incarnation
+        self._lines = {}
+        self._failures = {}
+        self._answered_at = {}
+        self._rotation = itertools.count()
+        self._demands_at = time.monotonic()
 
     async def run(self):
-        """Renew and return batches until cancelled."""
+        """Settle batches until cancelled."""
+        lease_s = self._settings.limits.batch_lease_s
+        try:
+            while True:
+                await asyncio.sleep(lease_s * _SETTLE_PART)
+                await self._settle(lease_s * _GIVE_BACK_PART)
+        finally:
+            for line in self._lines.values():
+                if line.fetching is not None:
+                    line.fetching.cancel()
 
     async def admit(self, account, deadline_at):
         """Take one token of an account, waiting a short while for it.
@@ -41,14 +120,262 @@
         result.Result
             ``Ok(None)`` or ``RATE_LIMITED``.
         """
+        now = time.monotonic()
+        line = self._lines.get(account)
+        if line is None:
+            line = self._lines[account] = _Line(Wallet(now))
+        line.wallet.note_demand(now)
+        line.arrivals += 1
+        if not line.waiters and line.wallet.spend(now):
+            if line.wallet.wanted(0, now) > 0:
+                self._start_fetching(account, line)
+            return Ok(None)
+        limit_at = min(deadline_at, now + self._settings.limits.wait_limit_s)
+        waiter = asyncio.get_running_loop().create_future()
+        line.waiters.append(waiter)
+        self._start_fetching(account, line)
+        try:
+            async with asyncio.timeout(max(0.0, limit_at - now)):
+                await waiter
+        except TimeoutError:
+            line.refusals += 1
+            return fail(
+                ErrorKind.RATE_LIMITED,
+                f"account '{account}' has used up its rate and burst",
+            )
+        finally:
+            if waiter in line.waiters:
+                line.waiters.remove(waiter)
         return Ok(None)
 
     def demands(self, now):
-        """Return the demand since the last call.
+        """Return the demand since the last call that returned some.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic time in seconds.
 
         Returns
         -------
         tuple of DemandSample
-            For the control leader.
+            For the control leader, at most one for each account and second,
+            so that the samples of one second can be added up over VMs.
+        """
+        elapsed_s = now - self._demands_at
+        if elapsed_s < _DEMAND_PERIOD_S:
+            return ()
+        self._demands_at = now
+        samples = []
+        for account, line in list(self._lines.items()):
+            if line.arrivals:
+                samples.append(
+                    DemandSample(
+                        account=account,
+                        data_centre=self._settings.vm.data_centre,
+                        rate_per_s=line.arrivals / elapsed_s,
+                        unmet_per_s=line.refusals / elapsed_s,
+                    )
+                )
+            elif self._is_idle(line, now):
+                del self._lines[account]
+            line.arrivals = line.refusals = 0
+        return tuple(samples)
+
+    def _is_idle(self, line, now):
+        line.wallet.forget(now)
+        return (
+            not line.waiters and line.fetching is None and line.wallet.is_empty
+        )
+
+    def _start_fetching(self, account, line):
+        if line.fetching is None:
+            line.fetching = asyncio.create_task(self._fetch(account, line))
+            line.fetching.add_done_callback(
+                lambda task: self._fetched(account, line, task)
+            )
+
+    def _fetched(self, account, line, task):
+        line.fetching = None
+        if not task.cancelled() and task.exception() is not None:
+            _LOG.error("limits: fetching tokens failed: %r", task.exception())
+        elif not task.cancelled() and line.waiters:
+            self._start_fetching(account, line)
+
+    async def _fetch(self, account, line):
+        """Draw tokens until no request of the account waits."""
+        while True:
+            now = time.monotonic()
+            sources = self._sources(now)
+            near = [
+                source
+                for source in sources
+                if source.data_centre == self._settings.vm.data_centre
+            ]
+            wait_s = _LONGEST_WAIT_S
+            for source in near:
+                wait_s = await self._draw_near(account, line, source)
+            far = [source for source in sources if source not in near]
+            await self._draw_far(account, line, far)
+            self._serve(line)
+            if not line.waiters:
+                return
+            wait_s = max(_SHORTEST_WAIT_S, min(wait_s, _LONGEST_WAIT_S))
+            await asyncio.sleep(wait_s)
+            self._serve(line)
+
+    async def _draw_near(self, account, line, source):
+        """Draw until nothing more is given; return when to ask again.
+
+        The last of these requests reports what was spent, so that a small
+        burst refills while the other requests wait.
+        """
+        while True:
+            wanted = line.wallet.wanted(len(line.waiters), time.monotonic())
+            tokens, wait_s = await self._draw(account, line, source, wanted)
+            if not tokens or not line.waiters:
+                return wait_s
+
+    async def _draw_far(self, account, line, sources):
+        """Look for tokens in other data centres for requests that wait."""
+        now = time.monotonic()
+        if now - line.remote_at < _REMOTE_ROUND_S:
+            return
+        for source in self._rotate(sources):
+            if not line.waiters:
+                return
+            line.remote_at = time.monotonic()
+            missing = len(line.waiters) - line.wallet.available(now)
+            await self._draw(account, line, source, missing)
+
+    def _rotate(self, sources):
+        if not sources:
+            return []
+        # Sources of the own region come first, but all get their turn.
+        start = next(self._rotation) % len(sources)
+        if len(sources) <= _REMOTE_ROUND_SOURCES:
+            return sources
+        turned = sources[start:] + sources[:start]
+        return turned[:_REMOTE_ROUND_SOURCES]
+
+    async def _draw(self, account, line, source, tokens):
+        """Ask one allocator and serve requests.
+
+        Returns the tokens received and the seconds until to ask again.
         """
-        return ()
+        requested_at = time.monotonic()
+        response = await self._call(
+            source,
+            TokenRequest(
+                account=account,
+                tokens=max(0.0, tokens),
+                vm=self._settings.vm.name,
+                incarnation=self._incarnation,
+                epoch=source.epoch,
+                batches=line.wallet.reports(
+                    source.data_centre, source.epoch, requested_at
+                ),
+            ),
+        )
+        if response is None:
+            return 0.0, _LONGEST_WAIT_S
+        line.wallet.add(source.data_centre, response, requested_at)
+        self._serve(line)
+        return response.tokens, response.wait_s
+
+    def _serve(self, line):
+        while line.waiters:
+            if line.waiters[0].done():
+                line.waiters.popleft()
+            elif line.wallet.spend(time.monotonic()):
+                line.waiters.popleft().set_result(None)
+            else:
+                return
+
+    async def _call(self, source, request):
+        if source.vm == self._settings.vm.name and self._allocator:
+            response = self._allocator.acquire(request, time.monotonic())
+            return self._check(source, response)
+        stub = FleetStub(self._channels.get(source.address))
+        started_at = time.monotonic()
+        try:
+            response = await call(stub.AcquireTokens, request, _CALL_TIMEOUT_S)
+        except (GRPCError, StreamTerminatedError, OSError) as error:
+            _LOG.info("limits: allocator %s failed: %s", source.vm, error)
+            self._note_failure(source, started_at)
+            return None
+        self._answered_at[source.address] = time.monotonic()
+        return self._check(source, response)
+
+    def _check(self, source, response):
+        if response.failure is None:
+            self._failures.pop(source, None)
+            return response
+        self._avoid(source, time.monotonic())
+        return None
+
+    def _avoid(self, source, now):
+        known = self._failures.get(source)
+        count = known.count + 1 if known else 1
+        avoid_s = _SHORTEST_AVOID_S * 2 ** min(count - 1, 10)
+        until = now + min(avoid_s, _LONGEST_AVOID_S)
+        self._failures[source] = _Failures(count, until)
+
+    def _note_failure(self, source, started_at):
+        """Avoid an allocator; replace a connection that stays silent."""
+        now = time.monotonic()
+        self._avoid(source, now)
+        last = self._answered_at.setdefault(source.address, started_at)
+        if now - last > self._settings.peer.silence_timeout_s:
+            self._channels.drop(source.address)
+            self._answered_at[source.address] = now
+
+    def _sources(self, now):
+        found = list_sources(self._copy.state, self._settings.vm)
+        self._failures = {
+            source: self._failures[source]
+            for source in found
+            if source in self._failures
+        }
+        return [
+            source
+            for source in found
+            if source not in self._failures
+            or self._failures[source].avoid_until <= now
+        ]
+
+    async def _settle(self, close_within_s):
+        """Report spending and give back tokens that would expire."""
+        now = time.monotonic()
+        sources = {
+            (source.data_centre, source.epoch): source
+            for source in self._sources(now)
+        }
+        calls = []
+        for account, line in list(self._lines.items()):
+            for place in line.wallet.sources_to_settle(now, close_within_s):
+                if place in sources:
+                    calls.append(
+                        self._settle_one(
+                            account, line, sources[place], close_within_s
+                        )
+                    )
+        await asyncio.gather(*calls)
+
+    async def _settle_one(self, account, line, source, close_within_s):
+        now = time.monotonic()
+        batches = line.wallet.reports(
+            source.data_centre, source.epoch, now, close_within_s
+        )
+        response = await self._call(
+            source,
+            TokenRequest(
+                account=account,
+                vm=self._settings.vm.name,
+                incarnation=self._incarnation,
+                epoch=source.epoch,
+                batches=batches,
+            ),
+        )
+        if response is not None:
+            line.wallet.add(source.data_centre, response, now)
--- /dev/null
+++ b/medlarhollow/limits/tests/test_allocator.py
@@ -0,0 +1,186 @@
+"""When a VM hands out tokens as the allocator of its data centre."""
+
+import attrs
+import pytest
+
+from medlarhollow.limits import ShareAllocator
+from medlarhollow.limits.sources import list_sources
+from medlarhollow.messages.records import Allocator
+from medlarhollow.messages.records import BatchReport
+from medlarhollow.messages.records import ErrorKind
+from medlarhollow.messages.records import Share
+from medlarhollow.messages.records import TokenRequest
+
+from .support import make_settings
+from .support import make_state
+from .support import StandInCopy
+
+LEASES_S = 3.0 + 1.0
+
+
+def make_allocator(epoch=1, vm="a", rate_per_s=10.0, burst=10.0, now=0.0):
+    state = make_state(
+        shares=[("north-a", rate_per_s, burst)],
+        allocators=[("north-a", vm, epoch)],
+    )
+    copy = StandInCopy(state, proof_at=now)
+    allocator = ShareAllocator(make_settings("a"), copy, "a#1")
+    allocator.share_epoch(now)
+    return allocator, copy
+
+
+def ask(allocator, copy, now, tokens=5.0, **more):
+    copy.proof_at = now
+    return allocator.acquire(TokenRequest("crew", tokens, **more), now)
+
+
+def replace(copy, **changes):
+    """Commit changes of the naming or of the share of north-a."""
+    state = copy.state
+    state.revision += 1
+    named = state.allocators["north-a"]
+    share = state.shares[("crew", "north-a")]
+    for name, value in changes.items():
+        if name in ("vm", "incarnation"):
+            named = attrs.evolve(named, epoch=named.epoch + 1, **{name: value})
+        else:
+            share = attrs.evolve(share, epoch=state.revision, **{name: value})
+    state.allocators["north-a"] = named
+    state.shares[("crew", "north-a")] = share
+
+
+def test_it_begins_without_tokens():
+    """Guards against a restart that grants a second burst."""
+    allocator, copy = make_allocator()
+    assert ask(allocator, copy, 0.0).tokens == 0
+    assert ask(allocator, copy, 0.2, 1.0).tokens == pytest.approx(1.0)
+
+
+@pytest.mark.parametrize(
+    ("changes", "kind"),
+    [
+        ({"vm": "b"}, ErrorKind.NOT_LEADER),
+        ({"incarnation": "a#2"}, ErrorKind.NOT_LEADER),
+    ],
+)
+def test_it_stops_when_another_is_named(changes, kind):
+    """Guards against two allocators of one data centre; an earlier process
+    of the same VM is another one."""
+    allocator, copy = make_allocator()
+    assert ask(allocator, copy, 1.0).tokens == 5
+    replace(copy, **changes)
+    response = ask(allocator, copy, 1.1)
+    assert response.tokens == 0
+    assert response.failure.kind is kind
+
+
+@pytest.mark.parametrize("age_s", [3.0, 10.0])
+def test_it_stops_when_cut_off_or_frozen(age_s):
+    """Guards against an allocator that cannot hear of its successor."""
+    allocator, copy = make_allocator()
+    copy.proof_at = 5.0
+    request = TokenRequest("crew", 5.0)
+    assert allocator.acquire(request, 5.0 + 2.9).tokens == 5
+    response = allocator.acquire(request, 5.0 + age_s)
+    assert response.tokens == 0
+    assert response.failure.kind is ErrorKind.STALE_AUTHORITY
+
+
+def test_a_successor_waits_for_the_leases_before_it():
+    """Guards against a predecessor that is cut off and still hands out, and
+    against its last batches."""
+    allocator, copy = make_allocator(epoch=2, now=100.0)
+    for moment in (100.0, 102.0, 100.0 + LEASES_S):
+        response = ask(allocator, copy, moment)
+        assert response.tokens == 0
+        assert response.wait_s > 0
+    assert ask(allocator, copy, 100.1 + LEASES_S, 0.5).tokens == 0.5
+
+
+def test_a_waiting_successor_does_not_acknowledge_shares():
+    """Guards against control moving a share on while the predecessor can
+    still hand it out."""
+    allocator, copy = make_allocator(epoch=2, now=100.0)
+    assert allocator.share_epoch(100.0 + LEASES_S) == 0
+    assert allocator.share_epoch(100.1 + LEASES_S) == 1
+
+
+def test_named_again_it_begins_without_tokens():
+    """Guards against tokens kept from before another VM was allocator."""
+    allocator, copy = make_allocator()
+    assert ask(allocator, copy, 10.0, 0.0).tokens == 0
+    replace(copy, vm="b")
+    replace(copy, vm="a")
+    response = ask(allocator, copy, 11.0)
+    assert response.tokens == 0
+    response = ask(allocator, copy, 11.1 + LEASES_S, 5.0)
+    assert response.tokens < 1.0
+
+
+def test_a_decrease_is_acknowledged_once_batches_fit_it():
+    """Guards the first step of a move of share between data centres."""
+    allocator, copy = make_allocator()
+    batch = ask(allocator, copy, 10.0, 10.0)
+    assert batch.tokens == 10
+    replace(copy, rate_per_s=1.0, burst=2.0)
+    changed = copy.state.shares[("crew", "north-a")].epoch
+    assert ask(allocator, copy, 10.1).tokens == 0
+    assert allocator.share_epoch(10.1) < changed
+    reports = (BatchReport(batch.batch_id, spent=9.0),)
+    ask(allocator, copy, 10.2, 0.0, epoch=1, batches=reports)
+    assert allocator.share_epoch(10.2) == changed
+
+
+def test_reports_for_another_epoch_are_ignored():
+    """Guards against identifiers that an earlier allocator gave out."""
+    allocator, copy = make_allocator()
+    batch = ask(allocator, copy, 10.0, 10.0)
+    reports = (BatchReport(batch.batch_id, spent=0.0, closed=True),)
+    response = ask(allocator, copy, 10.0, 5.0, epoch=7, batches=reports)
+    assert response.tokens == 0
+    response = ask(allocator, copy, 10.0, 5.0, epoch=1, batches=reports)
+    assert response.tokens == 5
+
+
+def test_without_a_share_nothing_is_given_out():
+    """Guards against tokens before control has set shares."""
+    allocator, copy = make_allocator()
+    copy.state.shares.clear()
+    copy.state.revision += 1
+    response = ask(allocator, copy, 20.0)
+    assert response.tokens == 0
+    assert response.failure is None
+
+
+def test_a_share_that_comes_back_counts_what_is_still_out():
+    """Guards against a share removed and set again within a lease."""
+    allocator, copy = make_allocator()
+    assert ask(allocator, copy, 10.0, 10.0).tokens == 10
+    copy.state.shares.clear()
+    copy.state.revision += 1
+    ask(allocator, copy, 10.1)
+    copy.state.shares[("crew", "north-a")] = Share(
+        "crew", "north-a", 10.0, 10.0, 9
+    )
+    copy.state.revision += 1
+    assert ask(allocator, copy, 10.2).tokens == 0
+    assert ask(allocator, copy, 10.95).tokens == 0
+
+
+def test_sources_are_ordered_by_distance():
+    """Guards the order in which tokens are looked for."""
+    state = make_state(
+        vms=[
+            ("a", "north", "north-a", "1"),
+            ("b", "north", "north-b", "2"),
+            ("z", "south", "east-a", "3"),
+        ],
+        allocators=[
+            ("east-a", "z", 1),
+            ("north-b", "b", 1),
+            ("north-a", "a", 1),
+        ],
+    )
+    state.allocators["lost"] = Allocator("lost", "unknown", "", 1)
+    found = list_sources(state, make_settings("a").vm)
+    assert [source.vm for source in found] == ["a", "b", "z"]
--- a/medlarhollow/messages/records.py
+++ b/medlarhollow/messages/records.py
@@ -15,6 +15,7 @@
     "AppendResponse",
     "Applied",
     "BackendServer",
+    "BatchReport",
     "Change",
     "Claim",
     "ClaimRecord",
@@ -853,8 +854,16 @@
     vm: str = ""
     incarnation: str = ""
     epoch: int = 0
+    batches: "tuple[BatchReport, ...]" = ()
+
+
+@attrs.frozen
+class BatchReport:
+    """What became of an earlier batch."""
+
+    batch_id: int = 0
     spent: float = 0.0
-    returned: float = 0.0
+    closed: bool = False
 
 
 @attrs.frozen
@@ -866,6 +875,8 @@
     wait_s: float = 0.0
     epoch: int = 0
     failure: "Failure | None" = None
+    batch_id: int = 0
+    settle_soon: bool = False
 
 
 @attrs.frozen
