Rewrite the request path of an entry VM

Cause: the first proxy claimed nothing, followed redirects, shared cookies between callers, passed keys on, lost repeated headers and ended a cut answer as if it were whole.

Claimed requests outlive their caller, so that a resend gets the answer. Non-idempotent requests use a connection of their own, because aiohttp sends a request again by itself on a kept connection that closed. A retry is made only if another server is free within 0.1 s; otherwise the first answer stands. A refusal after an attempt that may have run is "unknown". Cut answers reset the caller's connection. Paths that a backend server could resolve to another route are refused. Heads are bounded in size and time. Announcements are checked field by field, by size and by sequence.

--- a/medlarhollow/daemon/http.py
+++ b/medlarhollow/daemon/http.py
@@ -2,13 +2,21 @@
 
 import asyncio
 import contextlib
+import functools
+import logging
 
 import uvicorn
 
 from ..transport import parse_address
+from .front_door import FrontDoorProtocol
 
 __all__ = ["HttpServer"]
 
+_LOG = logging.getLogger(__name__)
+_POLL_S = 0.05
+# Time for tasks whose connection was aborted to notice it.
+_ABORT_S = 1.0
+
 
 class HttpServer(uvicorn.Server):
     """Serve an application without taking over the process's signals.
@@ -19,25 +27,37 @@
         ASGI application.
     address : str
         ``host:port`` to listen on.
-    drain_limit_s : float
-        Limit for running requests at a stop, in seconds.
+    settings : Settings
+        Section ``entry`` gives the limits for connections and stops.
     """
 
-    def __init__(self, app, address, drain_limit_s):
+    def __init__(self, app, address, settings):
         host, port = parse_address(address)
+        self._address = address
+        self._limit_s = settings.entry.drain_limit_s
+        self._cut = 0
         super().__init__(
             uvicorn.Config(
                 app,
                 host=host,
                 port=port,
+                http=functools.partial(
+                    FrontDoorProtocol, limits=settings.entry
+                ),
+                ws="none",
                 log_config=None,
                 access_log=False,
                 lifespan="off",
                 server_header=False,
-                timeout_graceful_shutdown=drain_limit_s,
+                timeout_keep_alive=settings.entry.keep_alive_s,
             )
         )
 
+    @property
+    def cut(self):
+        """Number of requests that the stop cut."""
+        return self._cut
+
     def capture_signals(self):
         """Leave the signals to the daemon."""
         return contextlib.nullcontext()
@@ -58,3 +78,31 @@
         waiting.cancel()
         self.should_exit = True
         await serving
+
+    async def shutdown(self, sockets=None):
+        """Refuse connections and wait for requests, up to the limit.
+
+        A connection that is left then is aborted, so that its answer
+        cannot seem whole, and counted as cut.
+        """
+        for server in self.servers:
+            server.close()
+        for connection in list(self.server_state.connections):
+            connection.shutdown()
+        await self._wait(self._limit_s)
+        left = list(self.server_state.connections)
+        self._cut = max(len(left), len(self.server_state.tasks))
+        if not self._cut:
+            return
+        _LOG.warning("daemon: %s cuts %d requests", self._address, self._cut)
+        for connection in left:
+            connection.abort()
+        await self._wait(_ABORT_S)
+        for task in self.server_state.tasks:
+            task.cancel()
+
+    async def _wait(self, limit_s):
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(limit_s):
+                while self.server_state.connections or self.server_state.tasks:
+                    await asyncio.sleep(_POLL_S)
--- a/medlarhollow/daemon/process.py
+++ b/medlarhollow/daemon/process.py
@@ -6,7 +6,6 @@
 import time
 import uuid
 
-import aiohttp
 import attrs
 
 from ..admin import make_admin_app
@@ -18,6 +17,8 @@
 from ..distribution import FleetCopy
 from ..distribution import follow
 from ..distribution import Reports
+from ..entry import BackendClient
+from ..entry import Drain
 from ..entry import EntryVm
 from ..entry import make_announce_app
 from ..entry import make_caller_app
@@ -30,6 +31,7 @@
 from ..steering import Dispatcher
 from ..transport import Channels
 from ..transport import PeerServer
+from ..transport.secret import read_secret
 from .fleet_service import FleetService
 from .http import HttpServer
 
@@ -37,6 +39,7 @@
 
 _LOG = logging.getLogger(__name__)
 _ROSTER_S = 0.5
+EXIT_CUT = 3
 
 
 async def run_process(settings):
@@ -67,6 +70,9 @@
     def __init__(self, settings):
         self._settings = settings
         self._stop = asyncio.Event()
+        self._closing = asyncio.Event()
+        self._drain = Drain()
+        self._drain_until = 0.0
         self._channels = Channels(settings)
         self._reports = Reports()
         self._copy = FleetCopy(settings)
@@ -88,7 +94,7 @@
         Returns
         -------
         int
-            Exit code.
+            0 after a graceful stop, 3 if a request was cut.
         """
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
@@ -100,15 +106,15 @@
         _LOG.info("daemon: started")
         async with asyncio.TaskGroup() as group:
             background = [group.create_task(task) for task in self._tasks()]
-            await self._serve_front_doors()
+            cut = await self._serve_front_doors()
             for task in background:
                 task.cancel()
         await peers.stop()
         if self._replica is not None:
             await self._replica.stop()
         self._channels.close()
-        _LOG.info("daemon: stopped")
-        return 0
+        _LOG.info("daemon: stopped, %d requests cut", cut)
+        return EXIT_CUT if cut else 0
 
     def _services(self):
         fleet = FleetService(self._settings, self._source, self._reports)
@@ -169,18 +175,33 @@
                 await self._replica.propose(named)
 
     async def _serve_front_doors(self):
-        timeout = aiohttp.ClientTimeout(
-            total=None,
-            sock_connect=self._settings.backends.connect_timeout_s,
-        )
-        connector = aiohttp.TCPConnector(limit=0)
-        async with aiohttp.ClientSession(
-            timeout=timeout, connector=connector, auto_decompress=False
-        ) as client:
+        """Serve until the stop; return the number of requests cut."""
+        async with BackendClient(self._settings) as client:
             servers = list(self._front_doors(client))
             await asyncio.gather(
-                *(server.serve_until(self._stop) for server in servers)
+                self._announce_stop(),
+                *(server.serve_until(self._closing) for server in servers),
             )
+            # Completions of claims follow the last answers.
+            left = await self._drain.wait(self._drain_until - time.monotonic())
+        return left + sum(server.cut for server in servers)
+
+    async def _announce_stop(self):
+        """Leave the look-ups at a signal, and close some time later.
+
+        Further signals change nothing: they must not cut a request.
+        """
+        await self._stop.wait()
+        _LOG.info("daemon: draining")
+        self._state = VmState.DRAINING
+        self._drain.begin()
+        if "entry" in self._settings.vm.roles:
+            await asyncio.sleep(self._settings.entry.drain_notice_s)
+        self._drain.close()
+        self._drain_until = (
+            time.monotonic() + self._settings.entry.drain_limit_s
+        )
+        self._closing.set()
 
     def _entry_vm(self, client):
         own = self._settings
@@ -193,17 +214,18 @@
             samples=self._samples,
             control=ControlClient(own, self._channels),
             client=client,
+            secret=read_secret(own.peer),
+            drain=self._drain,
         )
 
     def _front_doors(self, client):
         own = self._settings
-        limit_s = own.entry.drain_limit_s
         if "entry" in own.vm.roles:
             vm = self._entry_vm(client)
-            yield HttpServer(make_caller_app(vm), own.entry.listen, limit_s)
+            yield HttpServer(make_caller_app(vm), own.entry.listen, own)
             yield HttpServer(
-                make_announce_app(vm), own.entry.announce_listen, limit_s
+                make_announce_app(vm), own.entry.announce_listen, own
             )
         if self._replica is not None:
             app = make_admin_app(self._replica, Operators(own))
-            yield HttpServer(app, own.admin.listen, limit_s)
+            yield HttpServer(app, own.admin.listen, own)
--- a/medlarhollow/entry/answers.py
+++ b/medlarhollow/entry/answers.py
@@ -1,12 +1,46 @@
-"""Answer a failure over HTTP."""
+"""Answers that the entry VM makes itself."""
 
+import json
+
+import attrs
 from starlette.responses import JSONResponse
 
 from ..errors import response_of
+from ..membership import list_entry_vms
+from ..messages.records import ErrorKind
+from ..messages.records import VmState
+from .headers import OUTCOME_HEADER
+from .headers import REPLAY_HEADER
+
+__all__ = [
+    "Answer",
+    "answer_failure",
+    "describe_vm",
+    "make_failure_answer",
+    "make_replay",
+    "serving_vms",
+]
+
+_BODILESS = frozenset({204, 304})
+
 
-__all__ = ["OUTCOME_HEADER", "answer_failure"]
+@attrs.frozen
+class Answer:
+    """A whole answer.
+
+    Attributes
+    ----------
+    status : int
+        HTTP status.
+    headers : tuple of (bytes, bytes)
+        Names in lower case and values.
+    body : bytes
+        The whole body.
+    """
 
-OUTCOME_HEADER = "x-medlarhollow-outcome"
+    status: int
+    headers: tuple
+    body: bytes
 
 
 def answer_failure(failure):
@@ -22,6 +56,127 @@
     starlette.responses.JSONResponse
         Its body names the kind, the outcome and the detail.
     """
+    status, headers, body = _describe(failure)
+    return JSONResponse(body, status, headers)
+
+
+def make_failure_answer(failure, vm):
+    """Return the answer of a failure to a caller's request.
+
+    Parameters
+    ----------
+    failure : Failure
+        Kind and detail.
+    vm : EntryVm
+        Its roster names the entry VMs elsewhere, to which a caller is
+        referred when this VM cannot check keys.
+
+    Returns
+    -------
+    Answer
+        With a JSON body that names kind, outcome and detail.
+    """
+    status, headers, body = _describe(failure)
+    if failure.kind in (ErrorKind.STALE_AUTHORITY, ErrorKind.DRAINING):
+        own = vm.settings.vm.data_centre
+        elsewhere = failure.kind is ErrorKind.STALE_AUTHORITY
+        body["entry_vms"] = [
+            describe_vm(entry)
+            for entry in serving_vms(vm)
+            if not (elsewhere and entry.data_centre == own)
+        ]
+    headers["content-type"] = "application/json"
+    return _whole(status, headers, json.dumps(body).encode())
+
+
+def make_replay(outcome):
+    """Return the answer to a resend of a request that was completed.
+
+    Parameters
+    ----------
+    outcome : Outcome
+        The first answer.
+
+    Returns
+    -------
+    Answer
+        Marked by a header. If the body was not kept, a JSON note takes its
+        place.
+    """
+    headers = {
+        header.name: header.value
+        for header in outcome.headers
+        if header.name != "set-cookie"
+    }
+    cookies = [
+        (b"set-cookie", header.value.encode("latin-1"))
+        for header in outcome.headers
+        if header.name == "set-cookie"
+    ]
+    body = outcome.body
+    headers[REPLAY_HEADER] = "complete" if outcome.body_kept else "no-body"
+    if not outcome.body_kept and outcome.status not in _BODILESS:
+        headers.pop("content-encoding", None)
+        headers.pop("content-range", None)
+        headers["content-type"] = "application/json"
+        note = {
+            "outcome": "completed",
+            "status": outcome.status,
+            "detail": "the request ran once; the body of its answer was "
+            "not kept",
+        }
+        body = json.dumps(note).encode()
+    answer = _whole(outcome.status, headers, body)
+    return attrs.evolve(answer, headers=(*answer.headers, *cookies))
+
+
+def serving_vms(vm):
+    """Return the entry VMs that a caller may use, nearest first.
+
+    Parameters
+    ----------
+    vm : EntryVm
+        Holds the roster.
+
+    Returns
+    -------
+    list of Vm
+        Serving VMs, without this one while it drains.
+    """
+    listed = list_entry_vms(vm.copy.state, vm.settings)
+    others = sorted(vm.copy.state.vms.values(), key=lambda other: other.name)
+    listed += [other for other in others if other not in listed]
+    own = vm.settings.vm.name
+    return [
+        entry
+        for entry in listed
+        if entry.state is VmState.SERVING
+        and not (vm.drain.draining and entry.name == own)
+    ]
+
+
+def describe_vm(entry):
+    """Return what a caller is told of an entry VM.
+
+    Parameters
+    ----------
+    entry : Vm
+        From the roster.
+
+    Returns
+    -------
+    dict
+        Name, address, region and data centre.
+    """
+    return {
+        "name": entry.name,
+        "address": entry.caller_address,
+        "region": entry.region,
+        "data_centre": entry.data_centre,
+    }
+
+
+def _describe(failure):
     response = response_of(failure.kind)
     headers = {OUTCOME_HEADER: response.outcome}
     if response.retry_after_s is not None:
@@ -33,4 +188,14 @@
     }
     if failure.revision:
         body["revision"] = failure.revision
-    return JSONResponse(body, response.status, headers)
+    return response.status, headers, body
+
+
+def _whole(status, headers, body):
+    if status not in _BODILESS:
+        headers["content-length"] = str(len(body))
+    pairs = [
+        (name.encode("latin-1"), value.encode("latin-1"))
+        for name, value in headers.items()
+    ]
+    return Answer(status, tuple(pairs), body)
--- /dev/null
+++ b/medlarhollow/entry/attempts.py
@@ -0,0 +1,329 @@
+"""Send a request to a backend server and stream the answer."""
+
+import asyncio
+import time
+
+import attrs
+from result import Ok
+
+from ..errors import fail
+from ..errors import outcome_of
+from ..messages.records import ErrorKind
+from ..requests import Answered
+from ..requests import format_remaining
+from ..requests import may_have_run
+from ..requests import may_retry
+from ..requests import NotSent
+from ..requests import redact_text
+from ..requests import Refused
+from ..requests import Unanswered
+from ..transport.channel import SECRET_HEADER
+from .admission import check_again
+from .backend_client import CutAnswerError
+from .caller import CallerGoneError
+from .caller import RedactedBody
+from .claiming import Recorder
+from .headers import ACCOUNT_HEADER
+from .headers import CLAIMED_HEADER
+from .headers import DEADLINE_HEADER
+from .headers import filter_answer_headers
+from .headers import filter_request_headers
+from .headers import FORWARDED_HEADER
+from .headers import KEY_ID_HEADER
+from .headers import OUTCOME_HEADER
+from .headers import REQUEST_ID_HEADER
+from .slot import Slot
+
+__all__ = ["Run", "serve_attempts"]
+
+_ATTEMPTS = 3
+_BODILESS = frozenset({204, 304})
+# A retry is made only if another server is free at once or very soon;
+# otherwise the first one keeps the request.
+_RESERVE_WAIT_S = 0.1
+
+
+@attrs.define
+class Run:
+    """What has happened to a request so far.
+
+    Attributes
+    ----------
+    excluded : frozenset of str
+        Backend servers that were tried.
+    number : int
+        Attempts made.
+    sent : bool
+        Whether a byte may have reached a backend server.
+    claim : ClaimHolder or None
+        Granted claim of a non-idempotent request.
+    reserved : Slot or None
+        Slot for the next attempt.
+    caller_gone : bool
+        Whether the caller stalled while a claimed request was answered.
+    """
+
+    excluded: frozenset = frozenset()
+    number: int = 0
+    sent: bool = False
+    claim: object = None
+    reserved: object = None
+    caller_gone: bool = False
+
+
+async def serve_attempts(vm, caller, admission, run, prepare=None):
+    """Send a request until it is answered or may not be sent again.
+
+    Parameters
+    ----------
+    vm : EntryVm
+        The parts of this entry VM.
+    caller : Caller
+        The request; its answer is streamed.
+    admission : Admission
+        Route, account and deadline.
+    run : Run
+        Updated with each attempt.
+    prepare : callable or None
+        Awaited with the first slot, before anything is sent; returns a
+        `Result`, and the request is sent if that is ``Ok(None)``.
+
+    Returns
+    -------
+    result.Result
+        ``Ok(None)`` if an answer was streamed, ``Ok`` with what `prepare`
+        returned, or the failure to answer with.
+
+    Raises
+    ------
+    CutAnswerError
+        If the answer ended early; the caller's connection must be aborted.
+    """
+    while True:
+        slot, run.reserved = run.reserved, None
+        if slot is None:
+            acquired = await _acquire(vm, admission, run)
+            if acquired.is_err():
+                return _refuse(run, acquired)
+            slot = acquired.ok_value
+        try:
+            ready = await _make_ready(vm, admission, run, prepare)
+            if ready.is_err():
+                return _refuse(run, ready)
+            if ready.ok_value is not None:
+                return ready
+            end = await _attempt(vm, caller, admission, run, slot)
+        finally:
+            slot.release()
+        if end is None:
+            return Ok(None)
+        if run.reserved is None and not (
+            may_retry(end, admission.idempotent)
+            and _has_time(caller, admission, run)
+            # A refused connection costs other servers nothing.
+            and (isinstance(end, NotSent) or vm.budget.take())
+        ):
+            return _give_up(run, end)
+
+
+async def _acquire(vm, admission, run, deadline_at=None):
+    demand = attrs.evolve(admission.demand, excluded=run.excluded)
+    if deadline_at is not None:
+        demand = attrs.evolve(demand, deadline_at=deadline_at)
+    assigned = await vm.wait_in_queue(vm.dispatcher.acquire(demand))
+    if assigned.is_err():
+        return assigned
+    return Ok(Slot(vm, demand.route, assigned.ok_value))
+
+
+async def _reserve(vm, caller, admission, run):
+    """Reserve a slot and a retry; return whether that was possible."""
+    if not vm.budget.has_tokens or not _has_time(caller, admission, run):
+        return False
+    until = time.monotonic() + _RESERVE_WAIT_S
+    until = min(until, admission.demand.deadline_at)
+    acquired = await _acquire(vm, admission, run, until)
+    if acquired.is_err():
+        return False
+    if not vm.budget.take():
+        acquired.ok_value.release()
+        return False
+    run.reserved = acquired.ok_value
+    return True
+
+
+async def _make_ready(vm, admission, run, prepare):
+    checked = check_again(vm, admission, time.monotonic())
+    if checked.is_err():
+        return checked
+    if prepare is not None and run.number == 0:
+        prepared = await prepare()
+        if prepared.is_err() or prepared.ok_value is not None:
+            return prepared
+    if time.monotonic() >= admission.demand.deadline_at:
+        return fail(
+            ErrorKind.DEADLINE_EXCEEDED, "the deadline passed before sending"
+        )
+    return Ok(None)
+
+
+async def _attempt(vm, caller, admission, run, slot):
+    """Make one attempt; return its end, or None if it was answered."""
+    run.number += 1
+    run.excluded |= {slot.server_id}
+    slot.begin()
+    before = run.sent
+    run.sent = True
+    answer = await _wait_for_head(vm, caller, admission, run, slot)
+    if isinstance(answer, NotSent | Unanswered):
+        slot.finish(answer)
+        run.sent = before or may_have_run(answer)
+        return answer
+    end = _judge(answer, slot)
+    slot.finish(end)
+    run.sent = before or may_have_run(end)
+    try:
+        if not isinstance(end, Answered):
+            return end
+        if may_retry(end, admission.idempotent) and await _reserve(
+            vm, caller, admission, run
+        ):
+            return end
+        await _stream(vm, caller, admission, run, answer)
+    except CutAnswerError:
+        slot.cut()
+        raise
+    finally:
+        # Closes the connection unless the answer was read to its end.
+        answer.close()
+    return None
+
+
+async def _wait_for_head(vm, caller, admission, run, slot):
+    sending = asyncio.create_task(
+        vm.client.send(
+            caller.method,
+            slot.address,
+            _make_target(caller),
+            _make_headers(vm, caller, admission, slot),
+            RedactedBody(caller) if caller.has_body else None,
+            admission.idempotent and caller.is_held,
+        )
+    )
+    try:
+        if admission.idempotent and caller.is_held:
+            # A silent server may use half of the time that is left.
+            half_s = (admission.demand.deadline_at - time.monotonic()) / 2
+            await asyncio.wait({sending}, timeout=half_s)
+            if not sending.done() and await _reserve(
+                vm, caller, admission, run
+            ):
+                if not sending.done():
+                    return Unanswered(f"{slot.address} is silent")
+                run.reserved.release()
+                run.reserved = None
+        left_s = admission.demand.deadline_at - time.monotonic()
+        async with asyncio.timeout(left_s):
+            return await sending
+    except TimeoutError:
+        return Unanswered(f"no answer from {slot.address} before the deadline")
+    finally:
+        sending.cancel()
+
+
+def _judge(answer, slot):
+    """Return the end of an attempt whose head arrived."""
+    if slot.remote:
+        outcome = answer.headers.get(OUTCOME_HEADER)
+        detail = f"{slot.address} answered {answer.status}"
+        if outcome == "not-run":
+            return Refused(detail)
+        if outcome is not None:
+            return Unanswered(detail)
+    return Answered(answer.status)
+
+
+async def _stream(vm, caller, admission, run, answer):
+    headers = filter_answer_headers(answer.raw_headers)
+    if answer.status in _BODILESS:
+        headers = [pair for pair in headers if pair[0] != b"content-length"]
+    if REQUEST_ID_HEADER not in answer.headers:
+        name = REQUEST_ID_HEADER.encode()
+        headers.append((name, admission.request_id.encode()))
+    limit_bytes = vm.settings.entry.outcome_body_limit_bytes
+    recorder = Recorder(answer.status, headers, limit_bytes)
+    whole = False
+    try:
+        await _write(run, caller.start, answer.status, headers)
+        async for chunk in vm.client.read(answer):
+            if run.claim is not None:
+                recorder.add(chunk)
+            await _write(run, caller.write, chunk)
+        whole = True
+        await _write(run, caller.end)
+    finally:
+        if run.claim is not None:
+            run.claim.complete(recorder.outcome(whole))
+    if run.caller_gone:
+        raise CallerGoneError
+
+
+async def _write(run, write, *arguments):
+    """Write to the caller; a claimed request outlives its caller."""
+    if run.caller_gone:
+        return
+    try:
+        await write(*arguments)
+    except CallerGoneError:
+        if run.claim is None:
+            raise
+        run.caller_gone = True
+
+
+def _make_target(caller):
+    query = redact_text(caller.query)
+    return f"{caller.raw_path}?{query}" if query else caller.raw_path
+
+
+def _make_headers(vm, caller, admission, slot):
+    headers = filter_request_headers(caller.headers.raw)
+    deadline_at = admission.demand.deadline_at
+    headers += [
+        (REQUEST_ID_HEADER, admission.request_id),
+        (DEADLINE_HEADER, format_remaining(deadline_at, time.monotonic())),
+    ]
+    if slot.remote:
+        headers += [
+            (SECRET_HEADER, vm.secret),
+            (FORWARDED_HEADER, vm.settings.vm.data_centre),
+            (ACCOUNT_HEADER, admission.demand.account),
+            (KEY_ID_HEADER, admission.key_id),
+        ]
+        if not admission.idempotent:
+            headers.append((CLAIMED_HEADER, "1"))
+    return headers
+
+
+def _has_time(caller, admission, run):
+    return (
+        run.number < _ATTEMPTS
+        and caller.can_replay
+        and time.monotonic() < admission.demand.deadline_at
+    )
+
+
+def _refuse(run, result):
+    """Return a refusal, unless an earlier attempt may have run."""
+    if run.sent and outcome_of(result.err_value.kind) == "not-run":
+        return fail(
+            ErrorKind.OUTCOME_UNKNOWN,
+            f"an attempt may have run; then: {result.err_value.detail}",
+        )
+    return result
+
+
+def _give_up(run, end):
+    if run.sent:
+        detail = getattr(end, "detail", "a backend server failed")
+        return fail(ErrorKind.OUTCOME_UNKNOWN, detail)
+    return fail(ErrorKind.NO_BACKEND, end.detail)
--- a/medlarhollow/entry/callers.py
+++ b/medlarhollow/entry/callers.py
@@ -5,7 +5,11 @@
 from starlette.routing import Mount
 from starlette.routing import Route
 
-from ..membership import list_entry_vms
+from ..errors import fail
+from ..messages.records import ErrorKind
+from .answers import answer_failure
+from .answers import describe_vm
+from .answers import serving_vms
 from .proxy import Proxy
 
 __all__ = ["make_caller_app"]
@@ -21,33 +25,54 @@
 
     Returns
     -------
-    starlette.applications.Starlette
-        ``GET /v1/lookup``; every other path is a request to a service.
+    callable
+        ASGI application: ``GET /v1/lookup``; every other path is a request
+        to a service. While the VM drains, each answer closes its
+        connection.
     """
 
     async def lookup(request):
-        vms = list_entry_vms(vm.copy.state, vm.settings)
+        services = request.query_params.getlist("service")
+        if len(services) != 1:
+            failure = fail(
+                ErrorKind.BAD_REQUEST,
+                "one query parameter 'service' is needed",
+            )
+            return answer_failure(failure.err_value)
+        if services[0] not in vm.copy.state.services:
+            failure = fail(ErrorKind.NOT_FOUND, "no such service")
+            return answer_failure(failure.err_value)
+        entry = vm.settings.entry
+        listed = serving_vms(vm)[: entry.lookup_count]
         return JSONResponse(
             {
-                "entry_vms": [
-                    {
-                        "name": entry.name,
-                        "address": entry.caller_address,
-                        "region": entry.region,
-                        "data_centre": entry.data_centre,
-                    }
-                    for entry in vms
-                ],
-                "ttl_s": vm.settings.entry.lookup_ttl_s,
-            },
-            headers={
-                "cache-control": f"max-age={vm.settings.entry.lookup_ttl_s:g}"
+                "entry_vms": [describe_vm(each) for each in listed],
+                "ttl_s": entry.lookup_ttl_s,
             },
+            headers={"cache-control": f"max-age={entry.lookup_ttl_s:g}"},
         )
 
-    return Starlette(
+    app = Starlette(
         routes=[
             Route("/v1/lookup", lookup, methods=["GET"]),
             Mount("/", app=Proxy(vm)),
-        ]
+        ],
+        exception_handlers={Exception: _answer_unexpected},
     )
+
+    async def serve(scope, receive, send):
+        async def send_draining(message):
+            if message["type"] == "http.response.start" and vm.drain.draining:
+                headers = [*message["headers"], (b"connection", b"close")]
+                message = {**message, "headers": headers}
+            await send(message)
+
+        await app(scope, receive, send_draining)
+
+    return serve
+
+
+async def _answer_unexpected(request, error):
+    """Answer after a fault of this program; the request may have run."""
+    failure = fail(ErrorKind.NONE, f"internal error: {type(error).__name__}")
+    return answer_failure(failure.err_value)
--- /dev/null
+++ b/medlarhollow/entry/drain.py
@@ -0,0 +1,100 @@
+"""Work that a planned stop must not cut."""
+
+import asyncio
+import logging
+import time
+
+__all__ = ["Drain"]
+
+_LOG = logging.getLogger(__name__)
+
+
+class Drain:
+    """Track whether this VM drains and the tasks that outlive requests."""
+
+    def __init__(self):
+        self._draining = False
+        self._closing = False
+        self._requests = set()
+        self._tasks = set()
+
+    @property
+    def draining(self):
+        """Whether look-ups stop naming this VM."""
+        return self._draining
+
+    @property
+    def closing(self):
+        """Whether new requests are refused."""
+        return self._closing
+
+    def begin(self):
+        """Begin to drain: connections are closed after their answer."""
+        self._draining = True
+
+    def close(self):
+        """Refuse new requests."""
+        self._draining = self._closing = True
+
+    def serve(self, coroutine):
+        """Run a request in a task that outlives its caller.
+
+        Parameters
+        ----------
+        coroutine : coroutine
+            Serves the request.
+
+        Returns
+        -------
+        asyncio.Task
+            The running task.
+        """
+        task = self.start(coroutine)
+        self._requests.add(task)
+        return task
+
+    def start(self, coroutine):
+        """Run a coroutine in a task that a planned stop waits for.
+
+        Parameters
+        ----------
+        coroutine : coroutine
+            For example the completion of a claim.
+
+        Returns
+        -------
+        asyncio.Task
+            The running task.
+        """
+        task = asyncio.create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._finish)
+        return task
+
+    async def wait(self, limit_s):
+        """Wait for the tasks and cancel those left after `limit_s` seconds.
+
+        Returns
+        -------
+        int
+            Number of requests cut.
+        """
+        until = time.monotonic() + limit_s
+        while self._tasks and time.monotonic() < until:
+            # A request that ends may start the completion of its claim.
+            await asyncio.wait(
+                set(self._tasks), timeout=until - time.monotonic()
+            )
+        cut = len(self._requests)
+        left = set(self._tasks)
+        for task in left:
+            task.cancel()
+        if left:
+            await asyncio.wait(left)
+        return cut
+
+    def _finish(self, task):
+        self._tasks.discard(task)
+        self._requests.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            _LOG.debug("entry: task ended early: %r", task.exception())
--- a/medlarhollow/entry/proxy.py
+++ b/medlarhollow/entry/proxy.py
@@ -1,35 +1,30 @@
 """Serve one caller's request from a backend server."""
 
-import random
+import asyncio
+import logging
 import time
 
-import aiohttp
 from result import Ok
-from starlette.requests import Request
-from starlette.responses import StreamingResponse
 
-from ..configuration import check_key
-from ..configuration import match_route
 from ..errors import fail
 from ..messages.records import ErrorKind
-from ..steering import Demand
-from .answers import answer_failure
+from .admission import admit
+from .answers import make_failure_answer
+from .answers import make_replay
+from .attempts import Run
+from .attempts import serve_attempts
+from .backend_client import CutAnswerError
+from .caller import Caller
+from .caller import CallerGoneError
+from .claiming import ClaimHolder
+from .claiming import make_fingerprint
 
 __all__ = ["Proxy"]
 
-KEY_HEADER = "x-medlarhollow-key"
-_HOP_HEADERS = {
-    "authorization",
-    "connection",
-    "content-length",
-    "host",
-    "keep-alive",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-    KEY_HEADER,
-}
+_LOG = logging.getLogger(__name__)
+# A refusal waits this long for the release of its claim, so that a resend
+# that follows it finds the key free.
+_RELEASE_WAIT_S = 1.0
 
 
 class Proxy:
@@ -45,96 +40,93 @@
         self._vm = vm
 
     async def __call__(self, scope, receive, send):
-        """Serve one request."""
-        request = Request(scope, receive)
-        response = await self._serve(request)
-        await response(scope, receive, send)
-
-    async def _serve(self, request):
-        admitted = self._admit(request)
+        """Serve one request in the task of its connection."""
+        caller = Caller(scope, receive, send, self._vm.settings)
+        admitted = admit(self._vm, caller, time.monotonic())
         if admitted.is_err():
-            return answer_failure(admitted.err_value)
-        demand = admitted.ok_value
-        if demand.account:
-            token = await self._vm.limiter.admit(
-                demand.account, demand.deadline_at
+            await self._answer_failure(caller, admitted.err_value)
+            return
+        try:
+            async with asyncio.TaskGroup() as group:
+                watcher = group.create_task(caller.watch())
+                await self._serve(caller, admitted.ok_value)
+                watcher.cancel()
+        except* CallerGoneError:
+            _LOG.debug("entry: a caller left")
+            await caller.abort()
+        except* CutAnswerError as cut:
+            _LOG.info("entry: answer cut: %s", cut.exceptions[0])
+            await caller.abort()
+
+    async def _serve(self, caller, admission):
+        vm = self._vm
+        vm.budget.count_request()
+        demand = admission.demand
+        if demand.account and not admission.forwarded:
+            token = await vm.wait_in_queue(
+                vm.limiter.admit(demand.account, demand.deadline_at)
             )
             if token.is_err():
-                return answer_failure(token.err_value)
-        assigned = await self._vm.dispatcher.acquire(demand)
-        if assigned.is_err():
-            return answer_failure(assigned.err_value)
-        return await self._forward(request, assigned.ok_value.server)
-
-    def _admit(self, request):
-        state = self._vm.copy.state
-        host = request.headers.get("host", "")
-        route = match_route(state, host, request.url.path)
-        if route is None:
-            return fail(ErrorKind.NOT_FOUND, "no route for this path")
-        account = ""
-        if not route.open:
-            checked = self._check_key(request)
-            if checked.is_err():
-                return checked
-            account = checked.ok_value
-        timeout_s = (
-            route.timeout_s or self._vm.settings.entry.default_timeout_s
-        )
-        deadline_at = time.monotonic() + timeout_s
-        return Ok(Demand(route, account, deadline_at, random.random()))
-
-    def _check_key(self, request):
-        age = self._vm.copy.freshness_age_s(time.monotonic())
-        if age > self._vm.settings.limits.key_freshness_limit_s:
-            return fail(
-                ErrorKind.STALE_AUTHORITY,
-                "this VM cannot tell whether the key is still valid",
-            )
-        text = request.headers.get(KEY_HEADER, "")
-        return check_key(self._vm.copy.state, text)
-
-    async def _forward(self, request, server):
-        url = f"http://{server.address}{request.url.path}"
-        if request.url.query:
-            url += f"?{request.url.query}"
-        headers = {
-            name: value
-            for name, value in request.headers.items()
-            if name not in _HOP_HEADERS
-        }
-        body = request.stream() if _has_body(request) else None
+                await self._answer_failure(caller, token.err_value)
+                return
+        if admission.idempotency_key:
+            await self._serve_claimed(caller, admission)
+            return
+        result = await serve_attempts(vm, caller, admission, Run())
+        if result.is_err():
+            await self._answer_failure(caller, result.err_value)
+
+    async def _serve_claimed(self, caller, admission):
+        """Serve in a task that ends even if the caller leaves.
+
+        Once the request may have reached a backend server, its answer is
+        read to the end, so that a resend gets it.
+        """
+        run = Run()
+        work = self._vm.drain.serve(self._claim(caller, admission, run))
         try:
-            answer = await self._vm.client.request(
-                request.method, url, headers=headers, data=body
-            )
-        except aiohttp.ClientConnectorError as error:
-            return answer_failure(
-                fail(ErrorKind.NO_BACKEND, str(error)).err_value
+            await asyncio.shield(work)
+        except asyncio.CancelledError:
+            if not run.sent:
+                work.cancel()
+            raise
+
+    async def _claim(self, caller, admission, run):
+        vm = self._vm
+        demand = admission.demand
+        await caller.wait_for_body()
+        if caller.body_length is None:
+            failure = fail(
+                ErrorKind.TOO_LARGE,
+                "a Content-Length is needed for a body of this size",
             )
-        except aiohttp.ClientError as error:
-            return answer_failure(
-                fail(ErrorKind.OUTCOME_UNKNOWN, str(error)).err_value
-            )
-        return StreamingResponse(
-            _stream(answer),
-            answer.status,
-            {
-                name: value
-                for name, value in answer.headers.items()
-                if name.lower() not in _HOP_HEADERS
-            },
+            await self._answer_failure(caller, failure.err_value)
+            return
+        holder = ClaimHolder(
+            vm,
+            demand.account,
+            admission.idempotency_key,
+            make_fingerprint(caller),
         )
 
+        async def prepare():
+            taken = await holder.take(demand.deadline_at)
+            if taken == Ok(None):
+                run.claim = holder
+            return taken
 
-def _has_body(request):
-    return (
-        "content-length" in request.headers
-        or "transfer-encoding" in request.headers
-    )
-
-
-async def _stream(answer):
-    async with answer:
-        async for chunk in answer.content.iter_any():
-            yield chunk
+        try:
+            result = await serve_attempts(vm, caller, admission, run, prepare)
+        except BaseException:
+            if run.claim is not None and not run.sent:
+                holder.release()
+            raise
+        if result.is_err():
+            if run.claim is not None and not run.sent:
+                await asyncio.wait({holder.release()}, timeout=_RELEASE_WAIT_S)
+            await self._answer_failure(caller, result.err_value)
+        elif result.ok_value is not None:
+            await caller.answer(make_replay(result.ok_value))
+
+    async def _answer_failure(self, caller, failure):
+        await caller.answer(make_failure_answer(failure, self._vm))
--- a/medlarhollow/entry/vm.py
+++ b/medlarhollow/entry/vm.py
@@ -3,11 +3,16 @@
 import attrs
 
 from ..control import ControlClient
+from ..errors import fail
 from ..limits import Limiter
 from ..membership import Directory
+from ..messages.records import ErrorKind
 from ..moves import SampleCounter
+from ..requests import RetryBudget
 from ..settings import Settings
 from ..steering import Dispatcher
+from .backend_client import BackendClient
+from .drain import Drain
 
 __all__ = ["EntryVm"]
 
@@ -32,8 +37,16 @@
         How versions answer.
     control : ControlClient
         Proposes claims.
-    client : aiohttp.ClientSession
+    client : BackendClient
         Connections to backend servers.
+    secret : str
+        Secret that entry VMs show to each other.
+    drain : Drain
+        Whether this VM drains.
+    budget : RetryBudget
+        Retries allowed.
+    waiting : int
+        Requests that wait for a token or a slot.
     """
 
     settings: Settings
@@ -43,4 +56,34 @@
     dispatcher: Dispatcher
     samples: SampleCounter
     control: ControlClient
-    client: object
+    client: BackendClient
+    secret: str = attrs.field(repr=False)
+    drain: Drain = attrs.field(factory=Drain)
+    budget: RetryBudget = attrs.field(
+        default=attrs.Factory(
+            lambda self: RetryBudget(self.settings), takes_self=True
+        )
+    )
+    waiting: int = 0
+
+    async def wait_in_queue(self, waiting):
+        """Await a token or a slot, unless too many requests wait.
+
+        Parameters
+        ----------
+        waiting : coroutine
+            Returns a `Result`.
+
+        Returns
+        -------
+        result.Result
+            That result, or ``OVERLOADED``.
+        """
+        if self.waiting >= self.settings.entry.queue_limit:
+            waiting.close()
+            return fail(ErrorKind.OVERLOADED, "too many requests wait")
+        self.waiting += 1
+        try:
+            return await waiting
+        finally:
+            self.waiting -= 1
--- a/medlarhollow/settings/generated.py
+++ b/medlarhollow/settings/generated.py
@@ -81,6 +81,12 @@
     default_timeout_s: float = 10.0
     retry_budget: float = 0.1
     outcome_body_limit_bytes: int = 16384
+    head_timeout_s: float = 10.0
+    keep_alive_s: float = 15.0
+    stall_timeout_s: float = 15.0
+    body_keep_bytes: int = 65536
+    claim_timeout_s: float = 3.0
+    slow_answer_s: float = 1.0
 
 
 @attrs.frozen(kw_only=True)
@@ -391,6 +397,48 @@
                 highest=1048576,
                 help="Largest answer body kept for a resent idempotency key.",
             ),
+            Option(
+                name="head_timeout_s",
+                type="float",
+                lowest=0.1,
+                highest=600.0,
+                help="Limit for receiving a request head.",
+            ),
+            Option(
+                name="keep_alive_s",
+                type="float",
+                lowest=0.1,
+                highest=600.0,
+                help="Time for which an idle connection of a caller is kept.",
+            ),
+            Option(
+                name="stall_timeout_s",
+                type="float",
+                lowest=0.1,
+                highest=600.0,
+                help="Longest pause in a request or answer body, at either end.",
+            ),
+            Option(
+                name="body_keep_bytes",
+                type="int",
+                lowest=0,
+                highest=16777216,
+                help="Part of a request body that is held in memory, so that the request can be sent again.",
+            ),
+            Option(
+                name="claim_timeout_s",
+                type="float",
+                lowest=0.1,
+                highest=60.0,
+                help="Limit for the commit of a claim; after it the request is refused as not run.",
+            ),
+            Option(
+                name="slow_answer_s",
+                type="float",
+                lowest=0.001,
+                highest=600.0,
+                help="An answer whose head takes longer counts as slow.",
+            ),
         ),
     ),
     "backends": (
