--- a/medlarhollow/daemon/front_door.py
+++ b/medlarhollow/daemon/front_door.py
@@ -10,6 +10,8 @@
 
 # On, with no time to linger: close() then resets the connection.
 _RESET_AT_CLOSE = struct.pack("ii", 1, 0)
+# Time for a refused caller to read the refusal and close.
+_LINGER_S = 1.0
 _REFUSALS = {
     "too large": (b"431 Request Header Fields Too Large", "too_large"),
     "slow": (b"408 Request Timeout", "deadline_exceeded"),
@@ -42,6 +44,7 @@
         self._parsed_bytes = 0
         self._running = None
         self._fault = "malformed"
+        self._refused = False
 
     def connection_made(self, transport):
         """Start to wait for the first head."""
@@ -59,7 +62,7 @@
 
     def data_received(self, data):
         """Parse data and bound a head that is not complete yet."""
-        if self.transport.is_closing():
+        if self._refused or self.transport.is_closing():
             return
         started_in_head = self._in_head
         super().data_received(data)
@@ -68,7 +71,7 @@
         self._head_bytes += len(data)
         if (
             self._head_bytes > self._limits.header_limit_bytes
-            and not self.transport.is_closing()
+            and not self._refused
         ):
             self._fault = "too large"
             self.send_400_response("")
@@ -118,7 +121,12 @@
             b"x-medlarhollow-outcome: not-run\r\ncontent-length: %d\r\n"
             b"connection: close\r\n\r\n%b" % (status, len(body), body)
         )
-        self.transport.close()
+        # A close with data still unread would reset the connection before
+        # the caller has read the refusal.
+        self._refused = True
+        self._stop_head_timer()
+        self.transport.write_eof()
+        self.loop.call_later(_LINGER_S, self.transport.close)
 
     def abort(self):
         """Reset the connection, so that an answer cannot seem whole.
@@ -154,7 +162,7 @@
 
     def _refuse_slow_head(self):
         self._head_timer = None
-        if self.transport.is_closing():
+        if self._refused or self.transport.is_closing():
             return
         if self._in_head:
             self._fault = "slow"
--- /dev/null
+++ b/medlarhollow/daemon/tests/test_front_door.py
@@ -0,0 +1,156 @@
+"""Connections of callers: size, speed and order of request heads."""
+
+import asyncio
+import contextlib
+import json
+
+import pytest
+
+from medlarhollow.daemon.http import HttpServer
+from medlarhollow.entry.tests.stand_ins import eventually
+from medlarhollow.entry.tests.stand_ins import make_settings
+from medlarhollow.localfleet.ports import free_addresses
+
+
+async def read_all(receive):
+    while (message := await receive())["type"] == "http.request":
+        if not message["more_body"]:
+            return
+
+
+async def answer(send):
+    await send({"type": "http.response.start", "status": 204, "headers": []})
+    await send({"type": "http.response.body", "body": b""})
+
+
+@contextlib.asynccontextmanager
+async def serve(app, **entry):
+    """Run a front door; yield a function that connects to it."""
+    address = free_addresses(1)[0]
+    settings = make_settings(address, drain_limit_s=1, **entry)
+    server = HttpServer(app, address, settings)
+    stop = asyncio.Event()
+    task = asyncio.create_task(server.serve_until(stop))
+    while not server.started:
+        await asyncio.sleep(0.005)
+
+    async def connect(data):
+        host, port = address.split(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(data)
+        return reader, writer
+
+    try:
+        yield connect
+    finally:
+        stop.set()
+        await task
+
+
+async def plain(scope, receive, send):
+    await read_all(receive)
+    await answer(send)
+
+
+def check_refusal(data, status):
+    head, _, body = data.partition(b"\r\n\r\n")
+    assert head.startswith(b"HTTP/1.1 %d " % status), data
+    assert b"x-medlarhollow-outcome: not-run" in head
+    assert json.loads(body)["outcome"] == "not-run"
+
+
+HEAD = b"GET / HTTP/1.1\r\nHost: x\r\n"
+
+
+@pytest.mark.parametrize(
+    "parts",
+    [
+        [HEAD + b"A: " + b"x" * 5000 + b"\r\n\r\n"],
+        [HEAD, *[b"A%d: %s\r\n" % (i, b"x" * 90) for i in range(60)]],
+        [HEAD + b"A: ", *[b"x" * 500] * 12],
+        [b"GET /" + b"x" * 5000 + b" HTTP/1.1\r\n\r\n"],
+    ],
+)
+async def test_large_head_is_refused(parts):
+    """Guards memory against heads without end, whole or in pieces."""
+    async with serve(plain, header_limit_bytes=4096) as connect:
+        reader, writer = await connect(b"")
+        for part in parts:
+            writer.write(part)
+            await asyncio.sleep(0.002)
+        check_refusal(await reader.read(), 431)
+        writer.close()
+
+
+async def test_small_heads_on_one_connection_are_served():
+    """Guards kept connections against a limit that adds up over requests."""
+    async with serve(plain, header_limit_bytes=4096) as connect:
+        reader, writer = await connect(b"")
+        for _ in range(20):
+            writer.write(HEAD + b"A: " + b"x" * 3000 + b"\r\n\r\n")
+            assert b" 204 " in await reader.readuntil(b"\r\n\r\n")
+        writer.close()
+
+
+@pytest.mark.parametrize("first", [b"", HEAD])
+async def test_slow_head_is_cut_off(first):
+    """Guards connections against callers that never send a whole head, at
+    first and after a request."""
+    async with serve(plain, head_timeout_s=0.2) as connect:
+        reader, writer = await connect(first)
+        data = await reader.read()
+        if first:
+            check_refusal(data, 408)
+        else:
+            assert data == b""
+        reader, writer = await connect(HEAD + b"\r\n")
+        assert b" 204 " in await reader.readuntil(b"\r\n\r\n")
+        writer.write(HEAD)
+        check_refusal(await reader.read(), 408)
+        writer.close()
+
+
+async def test_malformed_head_is_refused():
+    """Guards the promise that each refusal names its outcome."""
+    async with serve(plain) as connect:
+        reader, writer = await connect(b"nonsense\r\n\r\n")
+        check_refusal(await reader.read(), 400)
+        writer.close()
+
+
+async def test_malformed_body_aborts():
+    """Guards invariant 9: a request that may be running is not answered
+    with "not run" when its body turns out malformed."""
+    seen = []
+
+    async def app(scope, receive, send):
+        seen.append(await receive())
+        await read_all(receive)
+
+    async with serve(app) as connect:
+        reader, writer = await connect(
+            b"POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n"
+            b"\r\n2\r\nab\r\n"
+        )
+        await eventually(lambda: seen)
+        writer.write(b"zz\r\n")
+        with pytest.raises(ConnectionResetError):
+            await reader.read()
+        writer.close()
+
+
+async def test_running_request_hears_that_a_pipelining_caller_left():
+    """Guards capacity: with a second request in the pipeline, the first one
+    must still be told of the disconnect."""
+    running, gone = [], []
+
+    async def app(scope, receive, send):
+        await read_all(receive)
+        running.append(scope["path"])
+        gone.append((await receive())["type"])
+
+    async with serve(app) as connect:
+        _, writer = await connect((HEAD + b"\r\n") * 2)
+        await eventually(lambda: running)
+        writer.close()
+        await eventually(lambda: gone == ["http.disconnect"])
--- a/medlarhollow/entry/tests/test_faults.py
+++ b/medlarhollow/entry/tests/test_faults.py
@@ -108,6 +108,23 @@
         assert (await front.call())[2] == b"slow"
 
 
+@pytest.mark.parametrize("revoked", [False, True])
+async def test_refusal_after_an_attempt_is_not_called_not_run(revoked):
+    """Guards invariant 9: when the first attempt may have run, neither a
+    missing second server nor a key revoked meanwhile means "not run"."""
+    front = Front()
+
+    async def close(request, reader, writer):
+        if revoked:
+            front.copy.state.keys.clear()
+        return False
+
+    servers = [Backend(close)] + [Backend(answer())] * revoked
+    async with front.run(*servers):
+        status, headers, _ = await front.call()
+        assert (status, headers["x-medlarhollow-outcome"]) == (502, "unknown")
+
+
 async def test_retries_stop_with_the_budget():
     """Guards against a retry storm: with the budget spent, failures go to
     the caller."""
