--- a/medlarhollow/admin/tests/fakes.py
+++ b/medlarhollow/admin/tests/fakes.py
@@ -18,6 +18,7 @@
 from medlarhollow.messages.records import Applied
 from medlarhollow.messages.records import Commit
 from medlarhollow.messages.records import ErrorKind
+from medlarhollow.settings.generated import EntrySettings
 
 OPERATORS = {"ana": "token-of-ana", "rui": "token-of-rui"}
 
@@ -81,10 +82,13 @@
             for name, token in OPERATORS.items()
         )
     )
-    settings = SimpleNamespace(admin=SimpleNamespace(tokens_file=str(path)))
+    settings = SimpleNamespace(
+        admin=SimpleNamespace(tokens_file=str(path)),
+        entry=EntrySettings(drain_limit_s=1.0),
+    )
     app = make_admin_app(admin, Operators(settings))
     address = free_addresses(1)[0]
-    server = HttpServer(app, address, 1.0)
+    server = HttpServer(app, address, settings)
     stop = asyncio.Event()
     task = asyncio.create_task(server.serve_until(stop))
     async with asyncio.timeout(5), aiohttp.ClientSession() as client:
