Test the vote of a lost disk and a follower that hears nothing

Cause: with the check of a voter's incarnation, or the refusal of votes while there is a leader, switched off in a scratch copy, all tests still passed.

Change: two tests in which exactly these mechanisms decide.

Measured: in scratch copies each of the two tests fails without its mechanism.

--- a/medlarhollow/agreement/tests/test_replicas_agree.py
+++ b/medlarhollow/agreement/tests/test_replicas_agree.py
@@ -111,6 +111,19 @@
     assert {cluster.status(name).term for name in "abc"} == {term}
 
 
+async def test_follower_that_hears_nothing_does_not_depose_the_leader(cluster):
+    """Guards against elections without end when one direction between the
+    leader and one follower is cut."""
+    leader = await cluster.leader()
+    follower, other = cluster.others(leader)
+    await eventually(lambda: cluster.status(other).leader == leader)
+    term = cluster.status(leader).term
+    cluster.network.cut(address_of(leader), address_of(follower))
+    await asyncio.sleep(1.0)
+    assert cluster.replicas[leader].is_leader
+    assert cluster.status(leader).term == term
+
+
 async def test_one_of_concurrent_changes_on_a_revision_succeeds(cluster):
     """Guards against two operators who overwrite each other."""
     leader = await cluster.leader()
@@ -225,6 +238,27 @@
     assert cluster.status("c").last_index > 0
 
 
+async def test_empty_disk_does_not_elect_a_replica_that_is_behind(cluster):
+    """Guards against a lost change: a replica that lacks it must not win
+    with the vote of one that held it and lost its disk."""
+    leader = await cluster.leader()
+    lost, behind = cluster.others(leader)
+    cluster.isolate(behind)
+    result = await cluster.replicas[leader].propose(put_account("x"))
+    assert result.is_ok()
+    await cluster.stop(leader, lost)
+    shutil.rmtree(cluster.folder / lost)
+    cluster.network.heal()
+    await cluster.start(lost)
+    await asyncio.sleep(1.0)
+    assert cluster.status(behind).role != "leader"
+    await cluster.start(leader)
+    await eventually(lambda: has_vote(cluster, lost))
+    await cluster.caught_up()
+    for replica in cluster.replicas.values():
+        assert list(replica.state.accounts) == ["x"]
+
+
 def has_vote(cluster, name):
     """Return whether the leader has committed this incarnation as voter."""
     own = cluster.status(name)
