Choose upstreams by preference and failure, and keep the stream meanwhile

Cause: a VM on a later upstream left it every 10 s to try the earlier ones from the first, so that each silent one cost 2 s of freshness; after a failure it only went further down the list; a response counted as old as its hold, so that a chain of two upstreams came near the limit of 1.5 s and was left; a silent downstream VM kept its task for ever.

Change: an upstream that failed is passed over for 10 s, the others are taken in order. Earlier upstreams are probed while the stream in use goes on. A response carries the time for which it was held. Control replicas follow the leader first. A silent downstream VM is dropped.

Conclusion: one silent preferred upstream costs no freshness in the test.

--- a/medlarhollow/agreement/tests/fakes.py
+++ b/medlarhollow/agreement/tests/fakes.py
@@ -122,6 +122,9 @@
             raise reply
         return None if reply is _CLOSED else decode(self._reply_type, reply)
 
+    async def cancel(self):
+        self._task.cancel()
+
     def reply(self, message):
         if (self._target, self._source) not in self._network.cuts:
             self._replies.put_nowait(message)
--- a/medlarhollow/distribution/copy.py
+++ b/medlarhollow/distribution/copy.py
@@ -73,8 +73,9 @@
         Notes
         -----
         The upstream's proof was `freshness_age_s` old when it answered, and
-        it answered after the request, so the proof is not older than
-        ``requested_at - freshness_age_s``. No clocks are compared.
+        it answered at least `held_s` after the request was sent, so the
+        proof is not older than ``requested_at + held_s - freshness_age_s``.
+        No clocks are compared.
         """
         if response.cluster != self._cluster:
             return fail(
@@ -86,15 +87,13 @@
         before = self._state.revision
         self._take_snapshot(response.snapshot)
         result = self._take_commits(response.commits)
-        if result.is_err():
-            return result
-        if response.freshness_age_s >= 0:
-            proof = requested_at - response.freshness_age_s
+        if result.is_ok() and response.freshness_age_s >= 0:
+            proof = requested_at + response.held_s - response.freshness_age_s
             self._proof_time_s = max(self._proof_time_s, proof)
         if self._state.revision > before:
             async with self._changed:
                 self._changed.notify_all()
-        return Ok(None)
+        return result
 
     async def wait_for_revision(self, revision, timeout_s):
         """Wait until the copy has a revision above the given one.
@@ -112,6 +111,8 @@
     def _take_snapshot(self, snapshot):
         if snapshot is None or snapshot.revision <= self._state.revision:
             return
+        if snapshot.cluster != self._cluster:
+            return
         self._state = FleetState.from_snapshot(snapshot)
         self._history.clear()
 
--- a/medlarhollow/distribution/follow.py
+++ b/medlarhollow/distribution/follow.py
@@ -4,23 +4,58 @@
 import logging
 import time
 
+import attrs
 from grpclib.exceptions import GRPCError
 from grpclib.exceptions import StreamTerminatedError
 
 from ..messages.records import SyncRequest
 from ..messages.services import FleetStub
 from .serve import answer_sync
+from .serve import HOLD_S
+from .upstreams import choose_upstream
+from .upstreams import is_usable
 from .upstreams import list_upstreams
 
 __all__ = ["follow"]
 
 _LOG = logging.getLogger(__name__)
 _RETRY_S = 0.2
+_LONGEST_RETRY_S = 1.0
 _MIRROR_S = 0.25
-# An upstream whose own proof is older than this is no better than the next.
-_STALE_S = 1.5
-# A VM on a later choice of upstream tries the earlier ones again this often.
-_RECONSIDER_S = 10.0
+# An upstream that failed is passed over for this long, and a VM on a later
+# choice asks the earlier ones this often whether they are usable again.
+RECONSIDER_S = 10.0
+# An upstream answers within its hold and a round trip; a relay that went
+# silent must be replaced within 2 s.
+_ANSWER_S = HOLD_S + 1.0
+
+
+@attrs.frozen
+class _Follower:
+    """What the steps of one VM share."""
+
+    copy: object
+    channels: object
+    reports: object
+    own_report: object
+    settings: object
+    replica: object
+    failures: dict = attrs.field(factory=dict)
+
+    @property
+    def leads(self):
+        """Whether the control replica of this process leads."""
+        return self.replica is not None and self.replica.is_leader
+
+    @property
+    def answer_s(self):
+        """Limit for one answer of an upstream in seconds."""
+        return min(self.settings.peer.silence_timeout_s, _ANSWER_S)
+
+    def upstreams(self):
+        """Return the upstream addresses in order of preference."""
+        leader = self.replica.leader_address if self.replica else ""
+        return list_upstreams(self.settings, self.copy.state, leader)
 
 
 async def follow(copy, channels, reports, own_report, settings, replica=None):
@@ -42,83 +77,141 @@
         The control replica of this process, which is followed without a
         connection while it leads.
     """
+    vm = _Follower(copy, channels, reports, own_report, settings, replica)
+    pause_s = _RETRY_S
     while True:
-        while replica is not None and replica.is_leader:
-            await _mirror(copy, replica, reports, own_report, settings)
-        for rank, address in enumerate(list_upstreams(settings, copy.state)):
-            try:
-                await _follow_one(
-                    address,
-                    rank,
-                    copy,
-                    channels,
-                    reports,
-                    own_report,
-                    settings,
-                )
-            except (GRPCError, StreamTerminatedError, OSError) as error:
-                _LOG.info("sync: upstream %s failed: %s", address, error)
-                channels.drop(address)
-            except TimeoutError:
-                _LOG.info("sync: upstream %s is silent", address)
-                channels.drop(address)
-            else:
-                break
-        await asyncio.sleep(_RETRY_S)
+        while vm.leads:
+            await _mirror(vm)
+        now = time.monotonic()
+        address = choose_upstream(
+            vm.upstreams(), vm.failures, now, RECONSIDER_S
+        )
+        if address is None:
+            await asyncio.sleep(_RETRY_S)
+            continue
+        waits = address in vm.failures
+        if waits:
+            await asyncio.sleep(pause_s)
+        if await _follow_one(vm, address):
+            pause_s = _RETRY_S
+        elif waits:
+            pause_s = min(2 * pause_s, _LONGEST_RETRY_S)
 
 
-async def _mirror(copy, replica, reports, own_report, settings):
+async def _mirror(vm):
     """Take what the leading replica of this process has."""
     now = time.monotonic()
-    reports.add(SyncRequest(reports=(own_report(now),)), now)
+    vm.reports.add(SyncRequest(reports=(vm.own_report(now),)), now)
     request = SyncRequest(
-        cluster=settings.vm.cluster, revision=copy.state.revision
+        cluster=vm.settings.vm.cluster, revision=vm.copy.state.revision
     )
-    await replica.wait_for_revision(request.revision, _MIRROR_S)
+    await vm.replica.wait_for_revision(request.revision, _MIRROR_S)
     now = time.monotonic()
-    result = await copy.take(answer_sync(request, replica, settings, now), now)
+    response = answer_sync(request, vm.replica, vm.settings, now, now)
+    result = await vm.copy.take(response, now)
     if result.is_err():
         _LOG.error("sync: mirror failed: %s", result.err_value.detail)
         await asyncio.sleep(_RETRY_S)
 
 
-async def _follow_one(
-    address, rank, copy, channels, reports, own_report, settings
-):
-    """Follow one upstream; return to reconsider, raise to try the next."""
-    started = time.monotonic()
-    timeout_s = settings.peer.silence_timeout_s
-    stub = FleetStub(channels.get(address))
-    async with stub.Sync.open() as stream:
-        sequence = 0
-        while True:
-            sequence += 1
-            requested_at = time.monotonic()
-            if rank and requested_at - started > _RECONSIDER_S:
+async def _follow_one(vm, address):
+    """Follow one upstream; return whether it was ever usable."""
+    search = asyncio.create_task(_find_better(vm, address))
+    usable = False
+    try:
+        async with asyncio.timeout(None) as limit:
+            limit.reschedule(_limit(vm))
+            stub = FleetStub(vm.channels.get(address))
+            async with stub.Sync.open() as stream:
+                sequence = 0
+                while not vm.leads and not search.done():
+                    sequence += 1
+                    limit.reschedule(_limit(vm))
+                    await _exchange(vm, stream, sequence)
+                    if not usable:
+                        _LOG.info("sync: follows %s", address)
+                    usable = True
+                    vm.failures.pop(address, None)
+                await stream.cancel()
+    except (GRPCError, StreamTerminatedError, OSError) as error:
+        _fail(vm, address, error)
+    except TimeoutError:
+        _fail(vm, address, "silent")
+    finally:
+        search.cancel()
+    return usable
+
+
+def _limit(vm):
+    return asyncio.get_running_loop().time() + vm.answer_s
+
+
+def _fail(vm, address, reason):
+    _LOG.info("sync: upstream %s failed: %s", address, reason)
+    vm.channels.drop(address)
+    vm.failures[address] = time.monotonic()
+
+
+async def _exchange(vm, stream, sequence):
+    """Send one request and take its answer."""
+    requested_at = time.monotonic()
+    own = vm.own_report(requested_at)
+    vm.reports.add(SyncRequest(reports=(own,)), requested_at)
+    await stream.send_message(_request(vm, sequence, requested_at))
+    response = await stream.recv_message()
+    if response is None:
+        raise StreamTerminatedError("upstream closed the stream")
+    if response.sequence != sequence:
+        raise StreamTerminatedError("upstream answered another request")
+    result = await vm.copy.take(response, requested_at)
+    if result.is_err():
+        raise StreamTerminatedError(result.err_value.detail)
+    if not is_usable(response, vm.settings.vm.cluster):
+        raise StreamTerminatedError("upstream has no fresh proof")
+
+
+async def _find_better(vm, address):
+    """Return when an upstream that is preferred to this one is usable.
+
+    The stream in use goes on meanwhile, so that an earlier upstream that
+    does not answer costs no freshness.
+    """
+    while True:
+        await asyncio.sleep(RECONSIDER_S)
+        upstreams = vm.upstreams()
+        rank = len(upstreams)
+        if address in upstreams:
+            rank = upstreams.index(address)
+        for earlier in upstreams[:rank]:
+            if await _probe(vm, earlier):
+                vm.failures.pop(earlier, None)
                 return
-            reports.add(
-                SyncRequest(reports=(own_report(requested_at),)), requested_at
-            )
-            async with asyncio.timeout(timeout_s):
-                await stream.send_message(
-                    _request(copy, reports, settings, sequence, requested_at)
-                )
+
+
+async def _probe(vm, address):
+    """Return whether an upstream gives a fresh proof."""
+    request = SyncRequest(
+        cluster=vm.settings.vm.cluster, revision=vm.copy.state.revision
+    )
+    try:
+        async with asyncio.timeout(vm.answer_s):
+            stub = FleetStub(vm.channels.get(address))
+            async with stub.Sync.open() as stream:
+                await stream.send_message(request)
                 response = await stream.recv_message()
-            if response is None:
-                raise StreamTerminatedError("upstream closed the stream")
-            result = await copy.take(response, requested_at)
-            if result.is_err():
-                raise StreamTerminatedError(result.err_value.detail)
-            if not 0 <= response.freshness_age_s <= _STALE_S:
-                raise StreamTerminatedError("upstream has no fresh proof")
+                await stream.cancel()
+    except (GRPCError, StreamTerminatedError, OSError, TimeoutError):
+        vm.channels.drop(address)
+        return False
+    return response is not None and is_usable(response, vm.settings.vm.cluster)
 
 
-def _request(copy, reports, settings, sequence, now):
-    versions, demands = reports.take_samples()
+def _request(vm, sequence, now):
+    versions, demands = vm.reports.take_samples()
     return SyncRequest(
-        cluster=settings.vm.cluster,
-        revision=copy.state.revision,
-        reports=reports.vms(now, settings.control.vm_lease_s),
+        cluster=vm.settings.vm.cluster,
+        revision=vm.copy.state.revision,
+        reports=vm.reports.vms(now, vm.settings.control.vm_lease_s),
         versions=versions,
         demands=demands,
         sequence=sequence,
--- a/medlarhollow/distribution/serve.py
+++ b/medlarhollow/distribution/serve.py
@@ -1,5 +1,7 @@
 """Serve the agreed state to one downstream VM."""
 
+import asyncio
+import logging
 import math
 import time
 
@@ -7,8 +9,9 @@
 from ..messages.records import Failure
 from ..messages.records import SyncResponse
 
-__all__ = ["answer_sync", "serve_sync"]
+__all__ = ["HOLD_S", "answer_sync", "serve_sync"]
 
+_LOG = logging.getLogger(__name__)
 HOLD_S = 0.5
 
 
@@ -30,18 +33,31 @@
     -----
     The task holds a request for up to 0.5 s when there is nothing new, so
     that a change goes out at once and an idle stream costs two messages a
-    second.
+    second. A downstream VM asks again at once, so one that is silent for
+    longer than its own limit is gone, even if its connection looks open.
     """
-    async for request in stream:
-        reports.add(request, time.monotonic())
+    limit_s = HOLD_S + 2 * settings.peer.silence_timeout_s
+    while True:
+        try:
+            async with asyncio.timeout(limit_s):
+                request = await stream.recv_message()
+        except TimeoutError:
+            _LOG.info("sync: a downstream VM is silent")
+            return
+        if request is None:
+            return
+        received_at = time.monotonic()
+        reports.add(request, received_at)
         if request.cluster == settings.vm.cluster:
             await source.wait_for_revision(request.revision, HOLD_S)
         await stream.send_message(
-            answer_sync(request, source, settings, time.monotonic())
+            answer_sync(
+                request, source, settings, time.monotonic(), received_at
+            )
         )
 
 
-def answer_sync(request, source, settings, now):
+def answer_sync(request, source, settings, now, received_at):
     """Decide what a downstream VM is told.
 
     Parameters
@@ -54,6 +70,8 @@
         Section ``vm`` is read.
     now : float
         Monotonic time in seconds.
+    received_at : float
+        Monotonic time in seconds when the request arrived.
 
     Returns
     -------
@@ -83,6 +101,7 @@
         cluster=cluster,
         sequence=request.sequence,
         freshness_age_s=age if covered and math.isfinite(age) else -1.0,
+        held_s=max(0.0, now - received_at),
         commits=commits,
         snapshot=snapshot,
     )
--- /dev/null
+++ b/medlarhollow/distribution/tests/test_follow.py
@@ -0,0 +1,275 @@
+"""VMs that follow upstreams over a fake network."""
+
+import asyncio
+import contextlib
+import sys
+import time
+
+from grpclib.const import Cardinality
+from grpclib.const import Handler
+import pytest
+
+from medlarhollow.agreement.tests.fakes import eventually
+from medlarhollow.agreement.tests.fakes import FakeChannels
+from medlarhollow.agreement.tests.fakes import FakeNetwork
+from medlarhollow.agreement.tests.fakes import put_account
+from medlarhollow.distribution import FleetCopy
+from medlarhollow.distribution import follow
+from medlarhollow.distribution import Reports
+from medlarhollow.distribution import serve_sync
+from medlarhollow.messages.records import Change
+from medlarhollow.messages.records import Commit
+from medlarhollow.messages.records import SetVm
+from medlarhollow.messages.records import SyncRequest
+from medlarhollow.messages.records import SyncResponse
+from medlarhollow.messages.records import Vm
+from medlarhollow.messages.records import VmReport
+from medlarhollow.settings.load import parse_settings
+
+CONTROLS = ("127.0.0.1:1", "127.0.0.1:2")
+
+
+def make_settings(name, address):
+    return parse_settings(
+        f"[vm]\nname = {name}\ncluster = test\nregion = r\ndata_centre = d\n"
+        f"[peer]\nlisten = {address}\nsecret_file = s\n"
+        "silence_timeout_s = 0.3\n"
+        f"[control]\nreplicas = {', '.join(CONTROLS)}\n",
+        "test.ini",
+    )
+
+
+class SyncServer:
+    """Serve Sync alone and count the streams."""
+
+    def __init__(self, source, reports, settings):
+        self.source = source
+        self.reports = reports
+        self.settings = settings
+        self.streams = 0
+
+    async def Sync(self, stream):  # noqa: N802
+        self.streams += 1
+        try:
+            await serve_sync(stream, self.source, self.reports, self.settings)
+        finally:
+            self.streams -= 1
+
+    def __mapping__(self):
+        return {
+            "/medlarhollow.peer.Fleet/Sync": Handler(
+                self.Sync,
+                Cardinality.STREAM_STREAM,
+                SyncRequest,
+                SyncResponse,
+            )
+        }
+
+
+class Control(SyncServer):
+    """A source whose proof is as old as the test says."""
+
+    def __init__(self, address):
+        settings = make_settings("control", address)
+        copy = FleetCopy(settings)
+        super().__init__(copy, Reports(), settings)
+        self.proof_at = None
+        copy.freshness_age_s = self.age_s
+
+    def age_s(self, now):
+        return 0.1 if self.proof_at is None else now - self.proof_at
+
+    async def commit(self, *changes):
+        first = self.source.state.revision + 1
+        commits = tuple(
+            Commit(revision, 1.0, change)
+            for revision, change in enumerate(changes, start=first)
+        )
+        response = SyncResponse(cluster="test", commits=commits)
+        assert (await self.source.take(response, 0.0)).is_ok()
+
+
+class FollowingVm(SyncServer):
+    """A VM that follows and serves its copy."""
+
+    def __init__(self, network, name, address):
+        settings = make_settings(name, address)
+        super().__init__(FleetCopy(settings), Reports(), settings)
+        self.vm = Vm(
+            name=name,
+            region="r",
+            data_centre="d",
+            peer_address=address,
+        )
+        self.task = asyncio.create_task(
+            follow(
+                self.source,
+                FakeChannels(network, address),
+                self.reports,
+                lambda now: VmReport(vm=self.vm),
+                settings,
+            )
+        )
+
+    async def stop(self):
+        self.task.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await self.task
+
+
+@pytest.fixture
+async def fleet(monkeypatch):
+    monkeypatch.setattr("medlarhollow.distribution.serve.HOLD_S", 0.05)
+    # The package exports the function of the same name as the module.
+    module = sys.modules["medlarhollow.distribution.follow"]
+    monkeypatch.setattr(module, "RECONSIDER_S", 0.5)
+    fleet = Fleet()
+    yield fleet
+    for vm in fleet.vms:
+        await vm.stop()
+
+
+class Fleet:
+    def __init__(self):
+        self.network = FakeNetwork()
+        self.controls = [Control(address) for address in CONTROLS]
+        for address, control in zip(CONTROLS, self.controls, strict=True):
+            self.network.serve(address, [control])
+        self.vms = []
+
+    def add(self, name):
+        address = f"127.0.0.1:{100 + len(self.vms)}"
+        vm = FollowingVm(self.network, name, address)
+        self.network.serve(address, [vm])
+        self.vms.append(vm)
+        return vm
+
+    async def commit(self, *changes):
+        for control in self.controls:
+            await control.commit(*changes)
+
+    async def reached(self, *vms):
+        """Wait until VMs hold the newest revision, freshly proven."""
+        revision = self.controls[0].source.state.revision
+        await eventually(
+            lambda: all(
+                vm.source.state.revision >= revision
+                and vm.source.freshness_age_s(time.monotonic()) < 1.0
+                for vm in vms or self.vms
+            )
+        )
+
+
+FAULTS = {
+    "silent": lambda fleet, at: fleet.network.cut(CONTROLS[0], at),
+    "deaf": lambda fleet, at: fleet.network.cut(at, CONTROLS[0]),
+    "stopped": lambda fleet, at: (
+        fleet.network.remove(CONTROLS[0]),
+        fleet.network.isolate(CONTROLS[0], [at]),
+    ),
+    "without a quorum": lambda fleet, _: setattr(
+        fleet.controls[0], "proof_at", time.monotonic() - 3.0
+    ),
+    "never had a proof": lambda fleet, _: setattr(
+        fleet.controls[0], "proof_at", float("-inf")
+    ),
+}
+
+
+@pytest.mark.parametrize("fault", FAULTS)
+@pytest.mark.parametrize("moment", ["before", "later"])
+async def test_next_upstream_takes_over(fleet, fault, moment):
+    """Guards against a VM that goes stale on a failed upstream while
+    another one is there."""
+    address = "127.0.0.1:100"
+    if moment == "before":
+        FAULTS[fault](fleet, address)
+    vm = fleet.add("a")
+    await fleet.reached()
+    if moment == "later":
+        FAULTS[fault](fleet, address)
+    await fleet.controls[1].commit(put_account("x"))
+    await eventually(lambda: vm.source.state.revision == 1)
+    await eventually(lambda: vm.source.freshness_age_s(time.monotonic()) < 1.0)
+
+
+async def test_preferred_upstream_is_taken_again(fleet):
+    """Guards against a VM that stays on a later choice for good."""
+    fleet.network.cut(CONTROLS[0], "127.0.0.1:100")
+    vm = fleet.add("a")
+    await fleet.reached()
+    assert fleet.controls[1].streams == 1
+    fleet.network.heal()
+    oldest_s = 0.0
+
+    def back():
+        nonlocal oldest_s
+        oldest_s = max(oldest_s, vm.source.freshness_age_s(time.monotonic()))
+        return fleet.controls[0].streams and not fleet.controls[1].streams
+
+    await eventually(back)
+    assert oldest_s < 1.0
+
+
+async def test_silent_preferred_upstream_costs_no_freshness(fleet):
+    """Guards against a VM that leaves a working upstream to wait for a
+    silent one."""
+    fleet.network.cut(CONTROLS[0], "127.0.0.1:100")
+    vm = fleet.add("a")
+    await fleet.reached()
+    began = time.monotonic()
+    while time.monotonic() < began + 2.0:
+        await asyncio.sleep(0.01)
+        assert vm.source.freshness_age_s(time.monotonic()) < 0.9
+
+
+async def test_age_is_never_younger_than_the_proof(fleet):
+    """Guards against a chain of VMs that keep a proof alive among
+    themselves after the quorum was lost."""
+    vms = [fleet.add(name) for name in "abc"]
+    await fleet.commit(*(Change(body=SetVm(vm.vm)) for vm in vms))
+    await fleet.reached()
+    lost_at = time.monotonic()
+    for control in fleet.controls:
+        control.proof_at = lost_at
+    while time.monotonic() < lost_at + 3.0:
+        await asyncio.sleep(0.02)
+        now = time.monotonic()
+        for vm in vms:
+            # A proof of before the loss may still be on its way.
+            assert vm.source.freshness_age_s(now) >= now - lost_at - 0.2
+
+
+async def test_one_of_24_vms_connects_outward(fleet):
+    """Guards against a data centre in which every VM loads the links to the
+    control replicas; when the relay dies, the next one takes over."""
+    vms = [fleet.add(f"vm-{number:02}") for number in range(24)]
+    await fleet.commit(*(Change(body=SetVm(vm.vm)) for vm in vms))
+
+    def streams():
+        return sum(control.streams for control in fleet.controls)
+
+    await eventually(lambda: streams() == 1)
+    await fleet.commit(put_account("x"))
+    await fleet.reached()
+    assert len(fleet.controls[0].reports.vms(time.monotonic(), 3.0)) == 24
+    fleet.network.remove("127.0.0.1:100")
+    fleet.network.isolate(
+        "127.0.0.1:100", [*CONTROLS, *(vm.vm.peer_address for vm in vms)]
+    )
+    await fleet.commit(put_account("y"))
+    await fleet.reached(*vms[1:])
+
+
+async def test_wrong_cluster_is_refused(fleet):
+    """Guards against a VM that mixes the states of two fleets."""
+    control = fleet.controls[0]
+    control.settings = parse_settings(
+        "[vm]\nname = x\ncluster = other\nregion = r\ndata_centre = d\n"
+        "[peer]\nlisten = h:1\nsecret_file = s\n[control]\nreplicas = h:1\n",
+        "test.ini",
+    )
+    vm = fleet.add("a")
+    await control.commit(put_account("foreign"))
+    await eventually(lambda: vm.source.freshness_age_s(time.monotonic()) < 1.0)
+    assert vm.source.state.revision == 0
--- /dev/null
+++ b/medlarhollow/distribution/tests/test_upstreams.py
@@ -0,0 +1,117 @@
+"""Order and choice of upstreams."""
+
+import pytest
+
+from medlarhollow.configuration import FleetState
+from medlarhollow.distribution.upstreams import choose_upstream
+from medlarhollow.distribution.upstreams import is_usable
+from medlarhollow.distribution.upstreams import list_upstreams
+from medlarhollow.messages.records import ErrorKind
+from medlarhollow.messages.records import Failure
+from medlarhollow.messages.records import SyncResponse
+from medlarhollow.messages.records import Vm
+from medlarhollow.messages.records import VmState
+from medlarhollow.settings.load import parse_settings
+
+
+def make_settings(roles="entry"):
+    return parse_settings(
+        "[vm]\nname = m\ncluster = test\nregion = r\ndata_centre = d1\n"
+        f"roles = {roles}\n[peer]\nlisten = h:5\nsecret_file = s\n"
+        "data_centre_peers = h:5, h:6\nremote_peers = h:7\n"
+        "[admin]\ntokens_file = t\n"
+        "[control]\nreplicas = h:1, h:2, h:5\ndata_dir = d\n",
+        "test.ini",
+    )
+
+
+def vm(name, data_centre, address, state=VmState.SERVING):
+    return Vm(
+        name=name,
+        data_centre=data_centre,
+        peer_address=address,
+        state=state,
+    )
+
+
+STATE = FleetState(
+    vms={
+        known.name: known
+        for known in (
+            vm("n", "d1", "h:14"),
+            vm("m", "d1", "h:5"),
+            vm("c", "d1", "h:12", VmState.DRAINING),
+            vm("b", "d1", "h:11"),
+            vm("a", "d1", "h:10", VmState.GONE),
+            vm("z", "d2", "h:20"),
+            vm("y", "d2", "h:21", VmState.DRAINING),
+        )
+    }
+)
+
+
+def test_entry_vm_prefers_earlier_vms_of_its_data_centre():
+    """Guards against loops and against more than one relay outward."""
+    assert list_upstreams(make_settings(), STATE) == [
+        *("h:11", "h:12"),  # earlier names of the data centre
+        *("h:1", "h:2"),  # control replicas
+        "h:6",
+        "h:7",
+        "h:20",
+    ]
+
+
+@pytest.mark.parametrize(
+    ("leader", "expected"),
+    [
+        ("", ["h:1", "h:2"]),
+        ("h:2", ["h:2", "h:1"]),
+        ("h:5", ["h:1", "h:2"]),
+        ("h:9", ["h:9", "h:1", "h:2"]),
+    ],
+)
+def test_control_replica_prefers_the_leader(leader, expected):
+    """Guards against followers that follow one another."""
+    settings = make_settings("control")
+    assert list_upstreams(settings, STATE, leader) == expected
+
+
+@pytest.mark.parametrize(
+    ("failures", "expected"),
+    [
+        ({}, "a"),
+        ({"a": 95.0}, "b"),
+        ({"a": 89.0}, "a"),
+        ({"a": 95.0, "b": 99.0}, "c"),
+        ({"a": 97.0, "b": 95.0, "c": 96.0}, "b"),
+        ({"b": 95.0}, "a"),
+    ],
+)
+def test_choice(failures, expected):
+    """Guards against a VM that stays on a failed upstream, or that never
+    returns to a preferred one."""
+    assert choose_upstream(["a", "b", "c"], failures, 100.0, 10.0) == expected
+
+
+def test_no_upstream():
+    """Guards against a crash of a fleet of one."""
+    assert choose_upstream([], {}, 1.0, 10.0) is None
+
+
+@pytest.mark.parametrize(
+    ("cluster", "age_s", "failure", "expected"),
+    [
+        ("test", 0.0, None, True),
+        ("test", 1.9, None, True),
+        ("test", 2.1, None, False),
+        ("test", -1.0, None, False),
+        ("other", 0.0, None, False),
+        ("test", 0.0, Failure(ErrorKind.WRONG_CLUSTER), False),
+    ],
+)
+def test_usable(cluster, age_s, failure, expected):
+    """Guards against a VM that stays with an upstream without authority."""
+    response = SyncResponse(
+        cluster=cluster, freshness_age_s=age_s, failure=failure
+    )
+    assert is_usable(response, "test") is expected
--- a/medlarhollow/distribution/upstreams.py
+++ b/medlarhollow/distribution/upstreams.py
@@ -2,10 +2,14 @@
 
 from ..messages.records import VmState
 
-__all__ = ["list_upstreams"]
+__all__ = ["choose_upstream", "is_usable", "list_upstreams"]
 
+# With a hold of 0.5 s at each of three upstreams one behind the other, a
+# proof is 1.7 s old at most; an older one says that the chain is broken.
+STALE_S = 2.0
 
-def list_upstreams(settings, state):
+
+def list_upstreams(settings, state, leader=""):
     """Return the upstream addresses in the order in which they are tried.
 
     Parameters
@@ -14,6 +18,8 @@
         Names this VM, the control replicas and the peers to start from.
     state : FleetState
         Its roster names the VMs of this data centre.
+    leader : str
+        Address of the leader, if this is a control replica and knows it.
 
     Returns
     -------
@@ -28,12 +34,11 @@
     a loop inside a data centre.
     """
     own = settings.vm
+    own_address = settings.peer.advertise or settings.peer.listen
     if "control" in own.roles:
-        return [
-            address
-            for address in settings.control.replicas
-            if address != settings.peer.listen
-        ]
+        # Replicas that follow one another would only see their proofs age.
+        ordered = [leader, *settings.control.replicas]
+        return _without(ordered, own_address)
     mates = sorted(
         (vm.name, vm.peer_address)
         for vm in state.vms.values()
@@ -49,7 +54,60 @@
     ordered = [
         *(address for _, address in mates),
         *settings.control.replicas,
+        *settings.peer.data_centre_peers,
         *settings.peer.remote_peers,
         *sorted(remote),
     ]
-    return list(dict.fromkeys(ordered))
+    return _without(ordered, own_address)
+
+
+def choose_upstream(addresses, failures, now, pause_s):
+    """Return the upstream to follow next.
+
+    Parameters
+    ----------
+    addresses : list of str
+        In order of preference.
+    failures : dict of float
+        Monotonic time in seconds of the last failure of an upstream.
+    now : float
+        Monotonic time in seconds.
+    pause_s : float
+        Time in seconds for which an upstream that failed is passed over.
+
+    Returns
+    -------
+    str or None
+        The first that has not failed lately, else the one whose failure is
+        the longest ago; None if there is no address.
+    """
+    if not addresses:
+        return None
+    never = float("-inf")
+    for address in addresses:
+        if failures.get(address, never) <= now - pause_s:
+            return address
+    return min(addresses, key=lambda address: failures[address])
+
+
+def is_usable(response, cluster):
+    """Return whether an upstream's response carries a fresh proof.
+
+    Parameters
+    ----------
+    response : SyncResponse
+        From the upstream.
+    cluster : str
+        Identity of the fleet.
+    """
+    return (
+        response.cluster == cluster
+        and response.failure is None
+        and 0 <= response.freshness_age_s <= STALE_S
+    )
+
+
+def _without(addresses, own):
+    """Return distinct addresses, without the empty one and this VM's."""
+    distinct = dict.fromkeys(addresses)
+    return [address for address in distinct if address not in ("", own)]
--- a/medlarhollow/messages/records.py
+++ b/medlarhollow/messages/records.py
@@ -813,6 +813,7 @@
     snapshot: "StateSnapshot | None" = None
     commits: "tuple[Commit, ...]" = ()
     failure: "Failure | None" = None
+    held_s: float = 0.0
 
 
 @attrs.frozen
