Keep followers alive and leave control replicas out of look-ups

Cause: found by the quick start on three control replicas. A daemon that had followed a later choice of upstream for 10 s ended with 'Outgoing stream was not ended' (6 of 7 processes in one run). Control replicas without the role entry stood in look-ups as entry VMs. An operator who asked a follower did not see a change that was just accepted, and a configuration applied there conflicted with itself.

Change: the Sync stream is cancelled before another upstream is tried; a VM without the role entry reports no caller address, and look-ups leave it out; the administration API waits, for at most 2 s, until its replica has the revision that the leader answers.

Measured: test_reconsider failed with that error before and passes now; look-ups named control-1 before.

--- a/medlarhollow/admin/app.py
+++ b/medlarhollow/admin/app.py
@@ -67,6 +67,7 @@
         order = await _read(operation, operators, request)
         if order.is_err():
             return answer_failure(order.err_value)
+        await admin.catch_up()
         result = await operation.run(admin, order.ok_value)
         if result.is_err():
             return answer_failure(result.err_value)
--- a/medlarhollow/admin/fleet_admin.py
+++ b/medlarhollow/admin/fleet_admin.py
@@ -1,6 +1,7 @@
 """Serve operators, whatever front end they come through."""
 
 import asyncio
+import time
 
 import attrs
 from grpclib.exceptions import GRPCError
@@ -57,6 +58,25 @@
         """FleetState : the agreed state as this replica knows it."""
         return self._replica.state
 
+    async def catch_up(self):
+        """Wait until this replica has what the leader had accepted.
+
+        An operator who asks a follower right after a change must see it.
+        Without an answer of the leader, what this replica has must do.
+        """
+        leader = self._replica.leader_address
+        if self._replica.is_leader or not leader:
+            return
+        status = await self._ask_replica(leader)
+        if status.status is None:
+            return
+        give_up_at = time.monotonic() + _REPLICA_TIMEOUT_S
+        while self.state.revision < status.status.revision:
+            left_s = give_up_at - time.monotonic()
+            if left_s <= 0:
+                return
+            await self._replica.wait_for_revision(self.state.revision, left_s)
+
     async def propose(self, order, body, part=""):
         """Propose one change.
 
--- a/medlarhollow/admin/status.py
+++ b/medlarhollow/admin/status.py
@@ -12,7 +12,7 @@
 
 
 def describe_vms(state, reports, now):
-    """Return the status of each entry VM of the roster.
+    """Return the status of each VM of the roster.
 
     Parameters
     ----------
@@ -26,9 +26,10 @@
     Returns
     -------
     tuple of VmStatus
-        In the order of names. A VM is overdue if it has not reported or
-        proved its freshness for `EFFECT_LIMIT_S`, or still holds an older
-        revision that long after the last change.
+        In the order of names, control replicas included; those have no
+        caller address unless they are entry VMs too. A VM is overdue if it
+        has not reported or proved its freshness for `EFFECT_LIMIT_S`, or
+        still holds an older revision that long after the last change.
     """
     known = {report.vm.name: report for report in reports}
     settled = now - state.time_s > EFFECT_LIMIT_S
@@ -55,6 +56,8 @@
     """
     groups = {}
     for vm in vms:
+        if not vm.caller_address:
+            continue
         groups.setdefault((vm.data_centre, vm.region), []).append(vm)
     return tuple(
         DataCentreStatus(
--- /dev/null
+++ b/medlarhollow/admin/tests/test_fleet_admin.py
@@ -0,0 +1,143 @@
+"""Orders passed between control replicas."""
+
+import asyncio
+from types import SimpleNamespace
+
+import pytest
+
+from medlarhollow.admin import FleetAdmin
+from medlarhollow.admin.requests import Order
+from medlarhollow.localfleet.ports import free_addresses
+from medlarhollow.messages.records import Applied
+from medlarhollow.messages.records import ErrorKind
+from medlarhollow.messages.records import Failure
+from medlarhollow.messages.records import ProposeResponse
+from medlarhollow.messages.records import PutAccount
+from medlarhollow.messages.records import Replica
+from medlarhollow.messages.records import ReplicaStatus
+from medlarhollow.messages.services import ControlBase
+from medlarhollow.settings.load import parse_settings
+from medlarhollow.transport import Channels
+from medlarhollow.transport import PeerServer
+
+from .fakes import FakeReplica
+from .fakes import FakeReports
+
+SETTINGS = """
+[vm]
+name = control-1
+cluster = test
+region = north
+data_centre = north-a
+[peer]
+listen = {leader}
+secret_file = {secret}
+[control]
+replicas = {leader}, {dead}
+"""
+
+
+class Leader(ControlBase):
+    """Stand-in for the leader."""
+
+    def __init__(self):
+        self.orders = []
+        self.failure = None
+
+    async def Propose(self, stream):
+        raise NotImplementedError
+
+    async def Status(self, stream):
+        await stream.recv_message()
+        await stream.send_message(
+            ReplicaStatus(name="control-2", role="leader", revision=7)
+        )
+
+    async def SetReplicas(self, stream):
+        self.orders.append(await stream.recv_message())
+        applied = None if self.failure else Applied(revision=7)
+        await stream.send_message(
+            ProposeResponse(applied=applied, failure=self.failure)
+        )
+
+
+class Follower(FakeReplica):
+    """Replica that is behind its leader."""
+
+    async def wait_for_revision(self, revision, timeout_s):
+        await asyncio.sleep(min(0.01, timeout_s))
+        self.state.revision += 1
+
+
+@pytest.fixture
+async def fleet(tmp_path):
+    leader, dead = free_addresses(2)
+    secret = tmp_path / "secret"
+    secret.write_text("s" * 64)
+    settings = parse_settings(
+        SETTINGS.format(leader=leader, dead=dead, secret=secret)
+    )
+    service = Leader()
+    server = PeerServer(settings, [service])
+    await server.start()
+    channels = Channels(settings)
+    follower = Follower()
+    follower.is_leader = False
+    follower.leader_address = leader
+    admin = FleetAdmin(settings, follower, channels, FakeReports())
+    yield SimpleNamespace(
+        admin=admin, leader=service, follower=follower, dead=dead
+    )
+    channels.close()
+    await server.stop()
+
+
+async def test_follower_catches_up_before_it_answers(fleet):
+    """Guards against an operator who does not see the change just made, and
+    against a document based on an old revision."""
+    await fleet.admin.catch_up()
+    assert fleet.follower.state.revision == 7
+
+
+async def test_follower_answers_without_a_leader(fleet):
+    """Guards against a replica that cannot be asked during an outage."""
+    fleet.follower.leader_address = fleet.dead
+    await fleet.admin.catch_up()
+    fleet.follower.leader_address = ""
+    await fleet.admin.catch_up()
+    assert fleet.follower.state.revision == 0
+
+
+async def test_replica_order_reaches_the_leader(fleet):
+    """Guards against a membership change that is dropped or refused
+    without its reason."""
+    result = await fleet.admin.set_replica(Replica("control-4"), remove=True)
+    assert result.ok_value.revision == 7
+    (order,) = fleet.leader.orders
+    assert (order.replica.name, order.remove) == ("control-4", True)
+    fleet.leader.failure = Failure(ErrorKind.CONFLICT, "another one runs")
+    result = await fleet.admin.set_replica(Replica("control-4"), remove=True)
+    assert result.err_value.kind is ErrorKind.CONFLICT
+
+
+async def test_dead_leader_is_told(fleet):
+    """Guards against an order that waits for ever."""
+    fleet.follower.leader_address = fleet.dead
+    result = await fleet.admin.set_replica(Replica("control-4"), remove=False)
+    assert result.err_value.kind is ErrorKind.NO_QUORUM
+
+
+async def test_status_names_silent_replicas(fleet):
+    """Guards against a dead replica that is left out of the status."""
+    status = await fleet.admin.status(0.0, 0.0)
+    answering, silent = status.replicas
+    assert answering.status.role == "leader"
+    assert silent.status is None
+    assert silent.error
+
+
+async def test_change_that_cannot_be_encoded_is_refused(fleet):
+    """Guards against a value that only fails inside the log."""
+    order = Order("ana", "r1", base_revision=2**65)
+    result = await fleet.admin.propose(order, PutAccount())
+    assert result.err_value.kind is ErrorKind.BAD_REQUEST
--- a/medlarhollow/admin/tests/test_status.py
+++ b/medlarhollow/admin/tests/test_status.py
@@ -1,5 +1,6 @@
 """Status of entry VMs and data centres."""
 
+import attrs
 import pytest
 
 from medlarhollow.admin.status import describe_data_centres
@@ -10,7 +11,7 @@
 from medlarhollow.messages.records import VmReport
 from medlarhollow.messages.records import VmState
 
-VM = Vm(name="vm-1", region="north", data_centre="north-a")
+VM = Vm("vm-1", "", "north", "north-a", "127.0.0.1:1")
 
 
 @pytest.mark.parametrize(
@@ -34,12 +35,14 @@
 
 
 def test_data_centres_are_counted():
-    """Guards against a data centre whose draining VMs count as serving."""
+    """Guards against draining VMs or control replicas that count as
+    serving."""
     state = FleetState(
         vms={
             "vm-1": VM,
-            "vm-2": Vm("vm-2", "", "north", "north-a", state=VmState.DRAINING),
-            "vm-3": Vm("vm-3", "", "south", "south-a"),
+            "vm-2": attrs.evolve(VM, name="vm-2", state=VmState.DRAINING),
+            "vm-3": Vm("vm-3", "", "south", "south-a", "127.0.0.1:3"),
+            "control-1": Vm("control-1", "", "south", "south-a"),
         },
         allocators={"north-a": Allocator("north-a", "vm-1")},
     )
--- a/medlarhollow/daemon/process.py
+++ b/medlarhollow/daemon/process.py
@@ -156,7 +156,7 @@
             incarnation=self._incarnation,
             region=own.vm.region,
             data_centre=own.vm.data_centre,
-            caller_address=own.entry.advertise or own.entry.listen,
+            caller_address=_caller_address(own),
             peer_address=own.peer.advertise or own.peer.listen,
             state=self._state,
         )
@@ -216,3 +216,10 @@
             )
             app = make_admin_app(admin, Operators(own))
             yield HttpServer(app, own.admin.listen, limit_s)
+
+
+def _caller_address(own):
+    """Return the address for callers; empty if this VM takes none."""
+    if "entry" not in own.vm.roles:
+        return ""
+    return own.entry.advertise or own.entry.listen
--- a/medlarhollow/distribution/follow.py
+++ b/medlarhollow/distribution/follow.py
@@ -95,6 +95,7 @@
             sequence += 1
             requested_at = time.monotonic()
             if rank and requested_at - started > _RECONSIDER_S:
+                await stream.cancel()
                 return
             reports.add(
                 SyncRequest(reports=(own_report(requested_at),)), requested_at
--- a/medlarhollow/localfleet/quickstart.py
+++ b/medlarhollow/localfleet/quickstart.py
@@ -23,6 +23,7 @@
 # The whole run has to end in under a minute, stopping included.
 RUN_LIMIT_S = 48.0
 DATA_CENTRES = (("north", "north-a", 2), ("south", "south-a", 2))
+LOG_LINES = 10
 OPTIONS = {"entry": {"drain_notice_s": "0.5", "drain_limit_s": "3"}}
 # A data centre has one backend server of each version.
 BACKENDS = (
@@ -113,6 +114,7 @@
             fleet.start()
             failed = asyncio.run(_run(fleet, started_at))
             codes = fleet.stop()
+            logs = {name: fleet.processes[name].log for name in codes}
         except (asyncio.CancelledError, KeyboardInterrupt):
             print("interrupted; everything is stopped", file=sys.stderr)
             return 130
@@ -123,6 +125,9 @@
     mark = "FAILED" if unclean else "ok"
     told = f"{len(codes)} processes" if not unclean else str(unclean)
     print(f"{stopped:6.1f} s  {mark:6}  graceful stop: {told}")
+    for name in unclean:
+        print(f"last lines of {name}:", file=sys.stderr)
+        print(*logs[name].splitlines()[-LOG_LINES:], sep="\n", file=sys.stderr)
     if failed or unclean:
         print("some steps did not hold")
         return 1
--- a/medlarhollow/localfleet/tour.py
+++ b/medlarhollow/localfleet/tour.py
@@ -82,7 +82,11 @@
 
         async def check():
             status = _need(await self._admin.read("/v1/status"))
-            serving = [vm for vm in status["vms"] if vm["state"] == "serving"]
+            serving = [
+                vm["name"]
+                for vm in status["vms"]
+                if vm["caller_address"] and vm["state"] == "serving"
+            ]
             assert len(serving) == _ENTRY_VMS, f"{len(serving)} entry VMs"
             roles = [
                 answer["status"]["role"] if answer["status"] else "silent"
--- a/medlarhollow/membership/lookup.py
+++ b/medlarhollow/membership/lookup.py
@@ -19,7 +19,8 @@
     -------
     list of Vm
         Serving VMs of this data centre first, then of this region, then of
-        others.
+        others. VMs without a caller address, such as those that only run a
+        control replica, are left out.
     """
     own = settings.vm
 
@@ -30,5 +31,9 @@
             vm.name,
         )
 
-    serving = [vm for vm in state.vms.values() if vm.state is VmState.SERVING]
+    serving = [
+        vm
+        for vm in state.vms.values()
+        if vm.state is VmState.SERVING and vm.caller_address
+    ]
     return sorted(serving, key=distance)[: settings.entry.lookup_count]
