Export metrics and traces and mask keys in logs

Cause: logs named no part and could hold a caller's key, and nothing was measured or traced.

Change: a table of log prefixes with a test that reads every log call, a filter that masks keys, UTC times; Telemetry with counters, a latency histogram, gauges and spans by the W3C traceparent header, to a file or OTLP. The daemon passes it to the calls between processes and reads revision, freshness age and move fraction. New setting telemetry.export_interval_s; the checker asks for otlp_endpoint with export = otlp.

The entry proxy does not call it yet.

--- a/medlarhollow/admin/tests/fakes.py
+++ b/medlarhollow/admin/tests/fakes.py
@@ -7,17 +7,18 @@
 
 import aiohttp
 from result import Ok
+import uvicorn
 
 from medlarhollow.admin import make_admin_app
 from medlarhollow.admin.operators import Operators
 from medlarhollow.configuration import FleetState
 from medlarhollow.configuration import History
-from medlarhollow.daemon.http import HttpServer
 from medlarhollow.errors import fail
 from medlarhollow.localfleet.ports import free_addresses
 from medlarhollow.messages.records import Applied
 from medlarhollow.messages.records import Commit
 from medlarhollow.messages.records import ErrorKind
+from medlarhollow.transport import parse_address
 
 OPERATORS = {"ana": "token-of-ana", "rui": "token-of-rui"}
 
@@ -71,6 +72,11 @@
         return tuple(self._reports)
 
 
+class _Server(uvicorn.Server):
+    def capture_signals(self):
+        return contextlib.nullcontext()
+
+
 @contextlib.asynccontextmanager
 async def serve_api(admin, folder):
     """Serve the API on a real connection; yields an `Api` for ana."""
@@ -84,14 +90,17 @@
     settings = SimpleNamespace(admin=SimpleNamespace(tokens_file=str(path)))
     app = make_admin_app(admin, Operators(settings))
     address = free_addresses(1)[0]
-    server = HttpServer(app, address, 1.0)
-    stop = asyncio.Event()
-    task = asyncio.create_task(server.serve_until(stop))
+    host, port = parse_address(address)
+    config = uvicorn.Config(
+        app, host=host, port=port, log_config=None, lifespan="off"
+    )
+    server = _Server(config)
+    task = asyncio.create_task(server.serve())
     async with asyncio.timeout(5), aiohttp.ClientSession() as client:
         while not server.started:
             await asyncio.sleep(0.01)
         yield Api(client, address, app)
-    stop.set()
+    server.should_exit = True
     await task
 
 
--- a/medlarhollow/daemon/process.py
+++ b/medlarhollow/daemon/process.py
@@ -25,12 +25,14 @@
 from ..entry import make_caller_app
 from ..limits import Limiter
 from ..membership import Directory
+from ..messages.records import MoveState
 from ..messages.records import SyncRequest
 from ..messages.records import Vm
 from ..messages.records import VmReport
 from ..messages.records import VmState
 from ..moves import SampleCounter
 from ..steering import Dispatcher
+from ..telemetry import Telemetry
 from ..transport import Channels
 from ..transport import PeerServer
 from .fleet_service import FleetService
@@ -69,7 +71,8 @@
     def __init__(self, settings):
         self._settings = settings
         self._stop = asyncio.Event()
-        self._channels = Channels(settings)
+        self._telemetry = Telemetry(settings)
+        self._channels = Channels(settings, self._telemetry)
         self._reports = Reports()
         self._copy = FleetCopy(settings)
         self._state = VmState.SERVING
@@ -95,7 +98,8 @@
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self._stop.set)
-        peers = PeerServer(self._settings, self._services())
+        peers = PeerServer(self._settings, self._services(), self._telemetry)
+        self._observe()
         if self._replica is not None:
             await self._replica.start()
         await peers.start()
@@ -109,9 +113,26 @@
         if self._replica is not None:
             await self._replica.stop()
         self._channels.close()
+        await asyncio.to_thread(self._telemetry.stop)
         _LOG.info("daemon: stopped")
         return 0
 
+    def _observe(self):
+        """Let metrics read what this process knows."""
+        copy = self._copy
+        self._telemetry.observe("revision", lambda: copy.state.revision)
+        self._telemetry.observe(
+            "freshness_age", lambda: copy.freshness_age_s(time.monotonic())
+        )
+        self._telemetry.observe(
+            "move_fraction",
+            lambda: {
+                move.service: move.fraction
+                for move in tuple(copy.state.moves.values())
+                if move.state is MoveState.IN_PROGRESS
+            },
+        )
+
     def _services(self):
         fleet = FleetService(self._settings, self._source, self._reports)
         if self._replica is None:
--- a/medlarhollow/settings/generated.py
+++ b/medlarhollow/settings/generated.py
@@ -131,6 +131,7 @@
     export_file: str = ""
     otlp_endpoint: str = ""
     trace_sample: float = 0.01
+    export_interval_s: float = 10.0
 
 
 @attrs.frozen(kw_only=True)
@@ -543,6 +544,13 @@
                 highest=1.0,
                 help="Part of requests that are traced.",
             ),
+            Option(
+                name="export_interval_s",
+                type="float",
+                lowest=0.1,
+                highest=3600.0,
+                help="Time between exports of metrics.",
+            ),
         ),
     ),
 }
--- a/medlarhollow/settings/relations.py
+++ b/medlarhollow/settings/relations.py
@@ -58,6 +58,10 @@
         settings.telemetry.export_file
     ):
         faults.append(_needed(path, "telemetry", "export_file"))
+    if settings.telemetry.export == "otlp" and not (
+        settings.telemetry.otlp_endpoint
+    ):
+        faults.append(_needed(path, "telemetry", "otlp_endpoint"))
     return faults
 
 
--- a/medlarhollow/telemetry/__init__.py
+++ b/medlarhollow/telemetry/__init__.py
@@ -1,5 +1,6 @@
 """Logs, metrics and traces."""
 
 from .logs import set_up_logs
+from .telemetry import Telemetry
 
-__all__ = ["set_up_logs"]
+__all__ = ["Telemetry", "set_up_logs"]
--- a/medlarhollow/telemetry/logs.py
+++ b/medlarhollow/telemetry/logs.py
@@ -2,15 +2,25 @@
 
 import logging
 import sys
+import time
 
 from pythonjsonlogger.json import JsonFormatter
 
+from .mask import MaskKeys
+from .prefixes import part_of
+
 __all__ = ["set_up_logs"]
 
+# Libraries whose informative messages are of no use to operators; grpclib
+# logs each stream that a peer resets, which is how a Sync stream ends.
+_QUIET = ("grpclib", "uvicorn", "aiohttp", "opentelemetry", "asyncio")
+
 
 def set_up_logs(settings):
     """Send log records of all parts to standard error or a file as JSON.
 
+    Keys of client accounts are masked in each record.
+
     Parameters
     ----------
     settings : Settings
@@ -20,11 +30,37 @@
     if settings.telemetry.log_file:
         handler = logging.FileHandler(settings.telemetry.log_file)
     handler.setFormatter(
-        JsonFormatter(
-            "%(asctime)s %(levelname)s %(name)s %(message)s",
+        _Formatter(
+            "%(asctime)s %(levelname)s %(part)s %(message)s",
+            rename_fields={
+                "asctime": "time",
+                "levelname": "level",
+                "exc_info": "exception",
+            },
             static_fields={"vm": settings.vm.name},
         )
     )
+    handler.addFilter(_add_part)
+    handler.addFilter(MaskKeys())
     root = logging.getLogger()
     root.handlers[:] = [handler]
     root.setLevel(settings.telemetry.log_level.upper())
+    for name in _QUIET:
+        logging.getLogger(name).setLevel(logging.WARNING)
+
+
+class _Formatter(JsonFormatter):
+    """Write times with date and offset, as tools expect them."""
+
+    default_time_format = "%Y-%m-%dT%H:%M:%S"
+    default_msec_format = "%s.%03dZ"
+
+    @staticmethod
+    def converter(seconds):
+        """Return the time in UTC."""
+        return time.gmtime(seconds)
+
+
+def _add_part(record):
+    record.part = part_of(record.name)
+    return True
--- /dev/null
+++ b/medlarhollow/telemetry/tests/test_logs.py
@@ -0,0 +1,109 @@
+"""JSON logs."""
+
+import ast
+import io
+import json
+import logging
+import pathlib
+from types import SimpleNamespace
+
+import pytest
+
+from medlarhollow.configuration import new_key
+from medlarhollow.telemetry import set_up_logs
+from medlarhollow.telemetry.mask import mask_keys
+from medlarhollow.telemetry.prefixes import part_of
+from medlarhollow.telemetry.prefixes import PREFIXES
+
+PACKAGE = pathlib.Path(__file__).resolve().parents[2]
+METHODS = {"debug", "info", "warning", "error", "critical", "exception"}
+
+
+@pytest.fixture
+def log_lines(monkeypatch):
+    root = logging.getLogger()
+    kept = root.handlers[:], root.level
+    stream = io.StringIO()
+    monkeypatch.setattr("sys.stderr", stream)
+    telemetry = SimpleNamespace(log_file="", log_level="debug")
+    vm = SimpleNamespace(name="vm-1")
+    set_up_logs(SimpleNamespace(vm=vm, telemetry=telemetry))
+
+    def read():
+        return [json.loads(line) for line in stream.getvalue().splitlines()]
+
+    yield read
+    root.handlers[:], level = kept
+    root.setLevel(level)
+
+
+def test_record_names_vm_part_and_time(log_lines):
+    """Guards against lines that cannot be told apart or ordered."""
+    logging.getLogger("medlarhollow.distribution.follow").info("sync: %d", 7)
+    (line,) = log_lines()
+    assert line["vm"] == "vm-1"
+    assert line["part"] == "sync"
+    assert line["level"] == "INFO"
+    assert line["message"] == "sync: 7"
+    assert line["time"].endswith("Z")
+
+
+def test_keys_are_masked_everywhere(log_lines):
+    """Guards against a key that reaches a log file."""
+    text, _ = new_key("crew")
+    secret = text.split("_")[2]
+    log = logging.getLogger("medlarhollow.entry.proxy")
+    log.info(f"entry: in the text {text}")
+    log.info("entry: as an argument %s", text)
+    log.info("entry: in a record", extra={"headers": {"k": text}})
+    log.info("entry: in a field", extra={"key": text})
+    try:
+        raise ValueError(text)
+    except ValueError:
+        log.exception("entry: in an exception")
+    log.info("entry: on the stack", stack_info=True)
+    lines = log_lines()
+    assert len(lines) == 6
+    assert secret not in json.dumps(lines)
+    assert "ValueError" in lines[4]["exception"]
+
+
+def test_masked_key_can_still_be_revoked():
+    """Guards against a leak that cannot be traced to its key."""
+    text, record = new_key("crew")
+    masked = mask_keys(f"GET /a?k={text}&b")
+    assert record.key_id in masked
+    assert len(masked) == len(f"GET /a?k={text}&b")
+
+
+def test_unknown_loggers_have_a_part():
+    """Guards against a log line without the field."""
+    assert part_of("uvicorn.error") == "library"
+    assert part_of("medlarhollow.entry.proxy") == "entry"
+
+
+def _messages():
+    for path in sorted(PACKAGE.rglob("*.py")):
+        place = path.relative_to(PACKAGE)
+        if "tests" in place.parts or len(place.parts) < 2:
+            continue
+        for node in ast.walk(ast.parse(path.read_text())):
+            if (
+                isinstance(node, ast.Call)
+                and isinstance(node.func, ast.Attribute)
+                and node.func.attr in METHODS
+                and isinstance(node.func.value, ast.Name)
+                and node.func.value.id == "_LOG"
+            ):
+                yield place, node.args[0]
+
+
+def test_every_message_has_the_prefix_of_its_part():
+    """Guards against messages that a search by prefix misses."""
+    found = 0
+    for place, argument in _messages():
+        found += 1
+        assert isinstance(argument, ast.Constant), place
+        prefix = PREFIXES[place.parts[0]]
+        assert argument.value.startswith(f"{prefix}: "), place
+    assert found > 10
--- /dev/null
+++ b/medlarhollow/telemetry/tests/test_telemetry.py
@@ -0,0 +1,230 @@
+"""Metrics and traces."""
+
+import json
+from types import SimpleNamespace
+
+from grpclib.testing import ChannelFor
+import pytest
+
+from medlarhollow.configuration import new_key
+from medlarhollow.messages.records import ProposeRequest
+from medlarhollow.messages.records import ProposeResponse
+from medlarhollow.messages.records import SyncRequest
+from medlarhollow.messages.services import ControlBase
+from medlarhollow.messages.services import ControlStub
+from medlarhollow.telemetry import Telemetry
+from medlarhollow.telemetry.rpc import CountingCodec
+from medlarhollow.telemetry.rpc import trace_server
+
+TRACE = "4bf92f3577b34da6a3ce929d0e0e4736"
+
+
+def make(path, export="file", sample=1.0):
+    return Telemetry(
+        SimpleNamespace(
+            vm=SimpleNamespace(
+                name="vm-1", region="north", data_centre="north-a"
+            ),
+            telemetry=SimpleNamespace(
+                export=export,
+                export_file=str(path),
+                otlp_endpoint="http://127.0.0.1:1",
+                trace_sample=sample,
+                export_interval_s=60.0,
+            ),
+        )
+    )
+
+
+@pytest.fixture
+def exported(tmp_path):
+    """Telemetry to a file and a function that stops and reads it."""
+    path = tmp_path / "telemetry.jsonl"
+    telemetry = make(path)
+
+    def read():
+        telemetry.stop()
+        return [json.loads(line) for line in path.read_text().splitlines()]
+
+    return telemetry, read
+
+
+def spans_of(lines):
+    return {line["name"]: line for line in lines if "context" in line}
+
+
+def metrics_of(lines):
+    found = {}
+    for line in lines:
+        for resource in line.get("resource_metrics", ()):
+            for scope in resource["scope_metrics"]:
+                for metric in scope["metrics"]:
+                    found[metric["name"]] = metric["data"]["data_points"]
+    return found
+
+
+def test_hops_are_one_trace(exported):
+    """Guards against hops that cannot be joined to one request."""
+    telemetry, read = exported
+    headers = {}
+    parent = {"traceparent": f"00-{TRACE}-00f067aa0ba902b7-01"}
+    with (
+        telemetry.request_span("entry.request", parent) as hop,
+        telemetry.span("entry.backend", server="b1"),
+    ):
+        hop.set("status", 200)
+        telemetry.inject(headers)
+    with telemetry.span("control.propose", headers):
+        pass
+    spans = spans_of(read())
+    assert len(spans) == 3
+    assert {s["context"]["trace_id"] for s in spans.values()} == {f"0x{TRACE}"}
+    request, backend = spans["entry.request"], spans["entry.backend"]
+    assert backend["parent_id"] == request["context"]["span_id"]
+    control = spans["control.propose"]
+    assert control["parent_id"] == backend["context"]["span_id"]
+    assert request["attributes"]["status"] == 200
+
+
+def test_keys_stay_out_of_spans(exported):
+    """Guards against a key that leaves through a trace."""
+    telemetry, read = exported
+    text, _ = new_key("crew")
+    with telemetry.request_span("entry.request", {}, path=f"/a?k={text}"):
+        pass
+    assert text.split("_")[2] not in json.dumps(read())
+
+
+def test_failed_hop_is_marked(exported):
+    """Guards against a failure that looks like success in a trace."""
+    telemetry, read = exported
+    with (
+        pytest.raises(ValueError, match="broken"),
+        telemetry.request_span("entry.claim", {}),
+    ):
+        raise ValueError("broken")
+    span = spans_of(read())["entry.claim"]
+    assert span["status"]["status_code"] == "ERROR"
+
+
+@pytest.mark.parametrize(
+    ("sample", "flag", "count"),
+    [(0.0, "01", 0), (1.0, "00", 0), (1.0, "01", 1)],
+)
+def test_callers_can_ask_for_less_only(tmp_path, sample, flag, count):
+    """Guards against a caller that has all its requests traced."""
+    path = tmp_path / "telemetry.jsonl"
+    telemetry = make(path, sample=sample)
+    parent = {"traceparent": f"00-{TRACE}-00f067aa0ba902b7-{flag}"}
+    with telemetry.request_span("entry.request", parent):
+        pass
+    telemetry.stop()
+    assert path.read_text().count("entry.request") == count
+
+
+def test_hops_of_untraced_requests_are_not_traced(exported):
+    """Guards against spans that belong to no request."""
+    telemetry, read = exported
+    with telemetry.span("entry.token"), telemetry.span("entry.backend", {}):
+        pass
+    assert spans_of(read()) == {}
+
+
+def test_all_vms_sample_the_same_requests(tmp_path):
+    """Guards against traces with gaps where VMs decided differently."""
+    path = tmp_path / "telemetry.jsonl"
+    telemetry = make(path, sample=0.5)
+    for half, name in ((f"{'7f' * 8}", "low"), (f"{'81' * 8}", "high")):
+        parent = {"traceparent": f"00-{'1' * 16}{half}-{'2' * 16}-01"}
+        with telemetry.request_span(name, parent):
+            pass
+    telemetry.stop()
+    assert '"low"' in path.read_text()
+    assert '"high"' not in path.read_text()
+
+
+def test_damaged_traceparent_is_ignored(exported):
+    """Guards against a header that fails a request."""
+    telemetry, read = exported
+    with telemetry.request_span("entry.request", {"traceparent": "00-zz-1"}):
+        pass
+    assert spans_of(read())["entry.request"]["parent_id"] is None
+
+
+def test_metrics_are_exported(exported):
+    """Guards against a metric that is counted but never leaves."""
+    telemetry, read = exported
+    telemetry.count_request("plots", "/plots", "crew", "ok", 0.004)
+    telemetry.count_request("plots", "/plots", "crew", "ok", 0.3)
+    telemetry.count_refused("crew")
+    telemetry.count_sync_bytes(120, "sent")
+    for name in ("queue_length", "in_flight", "freshness_age", "revision"):
+        telemetry.observe(name, lambda: 3)
+    telemetry.observe("move_fraction", lambda: {"plots": 0.25})
+    metrics = metrics_of(read())
+    (requests,) = metrics["medlarhollow.requests"]
+    assert requests["value"] == 2
+    assert requests["attributes"]["account"] == "crew"
+    assert metrics["medlarhollow.request.duration"][0]["count"] == 2
+    assert metrics["medlarhollow.tokens.refused"][0]["value"] == 1
+    assert metrics["medlarhollow.sync.bytes"][0]["value"] == 120
+    assert metrics["medlarhollow.queue.length"][0]["value"] == 3
+    assert metrics["medlarhollow.move.fraction"][0]["value"] == 0.25
+
+
+def test_nothing_is_made_while_off(tmp_path):
+    """Guards against costs and files when exports are off."""
+    path = tmp_path / "telemetry.jsonl"
+    telemetry = make(path, export="none")
+    headers = {}
+    with telemetry.request_span("entry.request", {"traceparent": "x"}) as hop:
+        hop.set("status", 200)
+        telemetry.inject(headers)
+    telemetry.count_request("plots", "/plots", "crew", "ok", 0.1)
+    telemetry.observe("revision", lambda: 1)
+    telemetry.stop()
+    assert headers == {}
+    assert not path.exists()
+    assert telemetry.span("a") is telemetry.span("b")
+
+
+async def test_calls_continue_the_trace(exported):
+    """Guards against a trace that ends at the process border."""
+    telemetry, read = exported
+
+    class Control(ControlBase):
+        async def Propose(self, stream):
+            await stream.recv_message()
+            await stream.send_message(ProposeResponse())
+
+        async def Status(self, stream):
+            raise NotImplementedError
+
+        async def SetReplicas(self, stream):
+            raise NotImplementedError
+
+    codec = CountingCodec(telemetry)
+    links = ChannelFor([Control()], codec=codec)
+    async with links as channel:
+        trace_server(links._server, telemetry)
+        with telemetry.request_span("entry.claim", {}):
+            headers = {}
+            telemetry.inject(headers)
+            await ControlStub(channel).Propose(
+                ProposeRequest(), metadata=headers
+            )
+    spans = spans_of(read())
+    claim = spans["entry.claim"]["context"]["span_id"]
+    assert spans["control.propose"]["parent_id"] == claim
+
+
+def test_sync_bytes_are_counted(exported):
+    """Guards against a count that misses a direction."""
+    telemetry, read = exported
+    codec = CountingCodec(telemetry)
+    data = codec.encode(SyncRequest(cluster="test"), SyncRequest)
+    codec.decode(data, SyncRequest)
+    codec.encode(ProposeRequest(), ProposeRequest)
+    points = metrics_of(read())["medlarhollow.sync.bytes"]
+    counted = {p["attributes"]["direction"]: p["value"] for p in points}
+    assert counted == {"sent": len(data), "received": len(data)}
--- a/medlarhollow/transport/channel.py
+++ b/medlarhollow/transport/channel.py
@@ -24,10 +24,14 @@
     ----------
     settings : Settings
         The settings of the process; section ``peer`` is read.
+    telemetry : Telemetry or None
+        Traces calls and counts bytes.
     """
 
-    def __init__(self, settings):
+    def __init__(self, settings, telemetry=None):
         self._settings = settings.peer
+        self._telemetry = telemetry
+        self._codec = telemetry.codec() if telemetry else RecordCodec()
         self._secret = read_secret(settings.peer)
         self._tls = client_tls(settings.peer)
         self._channels = {}
@@ -71,7 +75,7 @@
             host,
             port,
             ssl=self._tls,
-            codec=RecordCodec(),
+            codec=self._codec,
             config=Configuration(
                 _keepalive_time=self._settings.silence_timeout_s,
                 _keepalive_timeout=self._settings.silence_timeout_s,
@@ -86,6 +90,8 @@
 
     async def _add_secret(self, event):
         event.metadata[SECRET_HEADER] = self._secret
+        if self._telemetry is not None:
+            self._telemetry.inject(event.metadata)
 
 
 async def call(method, request, timeout_s):
--- a/medlarhollow/transport/server.py
+++ b/medlarhollow/transport/server.py
@@ -25,13 +25,18 @@
         The settings of the process; section ``peer`` is read.
     services : list
         Instances of the generated service classes.
+    telemetry : Telemetry or None
+        Traces calls and counts bytes.
     """
 
-    def __init__(self, settings, services):
+    def __init__(self, settings, services, telemetry=None):
         self._settings = settings.peer
         self._secret = read_secret(settings.peer)
-        self._server = Server(services, codec=RecordCodec())
+        codec = telemetry.codec() if telemetry else RecordCodec()
+        self._server = Server(services, codec=codec)
         listen(self._server, RecvRequest, self._authenticate)
+        if telemetry is not None:
+            telemetry.trace_server(self._server)
 
     async def start(self):
         """Listen on the peer address."""
