--- a/medlarhollow/daemon/process.py
+++ b/medlarhollow/daemon/process.py
@@ -24,6 +24,7 @@
 from ..entry import make_announce_app
 from ..entry import make_caller_app
 from ..limits import Limiter
+from ..limits import ShareAllocator
 from ..membership import Directory
 from ..messages.records import MoveState
 from ..messages.records import SyncRequest
@@ -78,7 +79,16 @@
         self._state = VmState.SERVING
         self._incarnation = uuid.uuid4().hex
         self._directory = Directory(settings)
-        self._limiter = Limiter(settings, self._copy, self._channels)
+        self._allocator = ShareAllocator(
+            settings, self._copy, self._incarnation
+        )
+        self._limiter = Limiter(
+            settings,
+            self._copy,
+            self._channels,
+            self._allocator,
+            self._incarnation,
+        )
         self._dispatcher = Dispatcher(
             settings, self._copy, self._directory, self._channels
         )
@@ -134,7 +144,9 @@
         )
 
     def _services(self):
-        fleet = FleetService(self._settings, self._source, self._reports)
+        fleet = FleetService(
+            self._settings, self._source, self._reports, self._allocator
+        )
         if self._replica is None:
             return [fleet]
         return [
@@ -170,6 +182,7 @@
             vm=self._own_vm(),
             revision=self._copy.state.revision,
             freshness_age_s=self._copy.freshness_age_s(now),
+            share_epoch=self._allocator.share_epoch(now),
         )
 
     def _own_vm(self):
@@ -179,11 +192,17 @@
             incarnation=self._incarnation,
             region=own.vm.region,
             data_centre=own.vm.data_centre,
-            caller_address=_caller_address(own),
+            caller_address=self._caller_address(),
             peer_address=own.peer.advertise or own.peer.listen,
             state=self._state,
         )
 
+    def _caller_address(self):
+        own = self._settings
+        if "entry" not in own.vm.roles:
+            return ""
+        return own.entry.advertise or own.entry.listen
+
     async def _report_samples(self):
         """Pass on what this VM measured; Sync requests carry it away."""
         while True:
@@ -239,10 +258,3 @@
             )
             app = make_admin_app(admin, Operators(own))
             yield HttpServer(app, own.admin.listen, limit_s)
-
-
-def _caller_address(own):
-    """Return the address for callers; empty if this VM takes none."""
-    if "entry" not in own.vm.roles:
-        return ""
-    return own.entry.advertise or own.entry.listen
--- a/medlarhollow/distribution/tests/test_reconsider.py
+++ b/medlarhollow/distribution/tests/test_reconsider.py
@@ -41,7 +41,7 @@
     await upstream.take(
         SyncResponse(cluster="test", freshness_age_s=0.0), time.monotonic()
     )
-    service = FleetService(settings, lambda: upstream, Reports())
+    service = FleetService(settings, lambda: upstream, Reports(), None)
     server = PeerServer(settings, [service])
     await server.start()
     channels = Channels(settings)
