Test the settings loader by a table of faults

Cause: nothing tested the loader, and faults between options were told only after all other faults were repaired.

Change: tables of faults with file, section, option, value and what is allowed; relations are checked in the same run, with defaults in place of wrong options, and an option already named is not blamed twice.

Conclusion: one run of the checker tells every fault it can know.

--- a/medlarhollow/settings/load.py
+++ b/medlarhollow/settings/load.py
@@ -1,7 +1,6 @@
 """Read an INI file and report all its faults at once."""
 
 import configparser
-import functools
 
 from .fault import Fault
 from .generated import SCHEMA
@@ -90,17 +89,28 @@
         given = dict(parser[name]) if parser.has_section(name) else {}
         values, wrong = _read_section(path, name, options, given)
         faults += wrong
-        if not wrong:
-            sections[name] = functools.partial(cls, **values)
-    if faults:
-        raise SettingsError(faults)
-    settings = Settings(**{name: make() for name, make in sections.items()})
-    faults = check_relations(settings, path)
+        if all(option.name in values for option in options if option.required):
+            # Defaults stand in for wrong options, so that the relations
+            # between the others are checked in the same run.
+            sections[name] = cls(**values)
+    if len(sections) == len(SCHEMA):
+        settings = Settings(**sections)
+        faults += _check_rest(settings, path, faults)
     if faults:
         raise SettingsError(faults)
     return settings
 
 
+def _check_rest(settings, path, faults):
+    """Return faults between options, but for options found wrong already."""
+    known = {(fault.section, fault.option) for fault in faults}
+    return [
+        fault
+        for fault in check_relations(settings, path)
+        if (fault.section, fault.option) not in known
+    ]
+
+
 def _unknown_sections(parser, path):
     return [
         Fault(path, name, detail=f"unknown; allowed: {', '.join(SCHEMA)}")
--- /dev/null
+++ b/medlarhollow/settings/tests/test_faults.py
@@ -0,0 +1,224 @@
+"""Faults of settings files."""
+
+import pytest
+
+from medlarhollow.settings import load_settings
+from medlarhollow.settings import SettingsError
+from medlarhollow.settings.generated import SCHEMA
+from medlarhollow.settings.load import parse_settings
+
+GOOD = {
+    "vm": {
+        "name": "vm-1",
+        "cluster": "test",
+        "region": "north",
+        "data_centre": "north-a",
+    },
+    "peer": {"listen": "127.0.0.1:7001", "secret_file": "/run/secret"},
+    "control": {"replicas": "127.0.0.1:7001, 127.0.0.1:7002"},
+}
+
+
+def write(changes=()):
+    """Return INI text of the good settings with some options changed."""
+    sections = {name: dict(options) for name, options in GOOD.items()}
+    for section, option, text in changes:
+        options = sections.setdefault(section, {})
+        options.pop(option, None)
+        if text is not None:
+            options[option] = text
+    return "".join(
+        f"[{name}]\n" + "".join(f"{o} = {t}\n" for o, t in options.items())
+        for name, options in sections.items()
+    )
+
+
+def faults_of(text):
+    with pytest.raises(SettingsError) as caught:
+        parse_settings(text, "vm.ini")
+    return caught.value.faults
+
+
+def test_good_settings_have_no_fault():
+    """Guards against a table of faults that would fail anyway."""
+    settings = parse_settings(write())
+    assert settings.control.replicas == ("127.0.0.1:7001", "127.0.0.1:7002")
+    assert settings.vm.roles == ("entry",)
+
+
+SINGLE = [
+    ("vm", "name", None, "required"),
+    ("vm", "name", "", "must not be empty"),
+    ("vm", "roles", "entry, cook", "allowed: one or more of"),
+    ("vm", "roles", ",", "allowed: one or more of"),
+    ("vm", "colour", "red", "unknown; allowed: "),
+    ("peer", "listen", "127.0.0.1", "is not an address like 192.0.2.1:80"),
+    (
+        "peer",
+        "listen",
+        "127.0.0.1:70000",
+        "port 70000 is not between 1 and 65535",
+    ),
+    ("peer", "listen", "127.0.0.1:x", "is not an address like 192.0.2.1:80"),
+    (
+        "control",
+        "replicas",
+        "127.0.0.1:7001, nowhere",
+        "is not an address like 192.0.2.1:80",
+    ),
+    ("peer", "connect_timeout_s", "0", "a number from 0.05 to 30.0"),
+    ("peer", "connect_timeout_s", "30.5", "a number from 0.05 to 30.0"),
+    ("peer", "connect_timeout_s", "nan", "a number from 0.05 to 30.0"),
+    ("peer", "connect_timeout_s", "inf", "a number from 0.05 to 30.0"),
+    ("peer", "connect_timeout_s", "1s", "a number from 0.05 to 30.0"),
+    ("entry", "queue_limit", "1.5", "a whole number from 1 to 100000"),
+    ("entry", "queue_limit", "0", "a whole number from 1 to 100000"),
+    ("entry", "queue_limit", "", "a whole number from 1 to 100000"),
+    ("control", "bootstrap", "maybe", "allowed: yes, no"),
+    ("telemetry", "export", "email", "allowed: none, file, otlp"),
+    ("telemetry", "trace_sample", "1.01", "a number from 0.0 to 1.0"),
+]
+
+
+@pytest.mark.parametrize(("section", "option", "text", "told"), SINGLE)
+def test_fault_names_its_place_and_what_is_allowed(
+    section, option, text, told
+):
+    """Guards against a fault that is taken, or that leaves the operator to
+    guess where it is and what is allowed."""
+    (fault,) = faults_of(write([(section, option, text)]))
+    assert (fault.path, fault.section, fault.option) == (
+        "vm.ini",
+        section,
+        option,
+    )
+    assert fault.value == text
+    assert told in fault.detail
+    shown = str(fault)
+    assert "vm.ini" in shown
+    assert f"[{section}] {option}" in shown
+
+
+RELATED = [
+    ([("vm", "roles", "control")], {"data_dir", "tokens_file"}),
+    (
+        [
+            ("vm", "roles", "control"),
+            ("control", "data_dir", "/var/lib/m"),
+            ("admin", "tokens_file", "/etc/t"),
+            ("control", "replicas", ""),
+        ],
+        {"replicas"},
+    ),
+    ([("control", "heartbeat_s", "0.4")], {"election_timeout_s"}),
+    ([("peer", "tls_key_file", "/k")], {"tls_certificate_file"}),
+    ([("telemetry", "export", "file")], {"export_file"}),
+    ([("telemetry", "export", "otlp")], {"otlp_endpoint"}),
+]
+
+
+@pytest.mark.parametrize(("changes", "options"), RELATED)
+def test_options_that_do_not_fit_together_are_named(changes, options):
+    """Guards against a daemon that fails only after it has started."""
+    faults = faults_of(write(changes))
+    assert options <= {fault.option for fault in faults}
+
+
+def test_all_faults_are_told_at_once():
+    """Guards against operators who repair a file fault by fault."""
+    changes = [case[:3] for case in SINGLE[:1] + SINGLE[4:5] + SINGLE[13:16]]
+    text = write([*changes, ("kitchen", "stove", "hot")])
+    faults = faults_of(text)
+    told = {(fault.section, fault.option) for fault in faults}
+    assert told == {
+        ("vm", "name"),
+        ("vm", "colour"),
+        ("peer", "connect_timeout_s"),
+        ("entry", "queue_limit"),
+        ("kitchen", None),
+    }
+
+
+def test_relations_are_checked_beside_other_faults():
+    """Guards against a second round of faults after the first is
+    repaired, and against a default that is blamed for a wrong option."""
+    text = write(
+        [
+            ("vm", "roles", "control"),
+            ("entry", "queue_limit", "none"),
+            ("control", "election_timeout_s", "soon"),
+            ("control", "heartbeat_s", "0.5"),
+        ]
+    )
+    faults = faults_of(text)
+    told = sorted((fault.section, fault.option) for fault in faults)
+    assert told == [
+        ("admin", "tokens_file"),
+        ("control", "data_dir"),
+        ("control", "election_timeout_s"),
+        ("entry", "queue_limit"),
+    ]
+
+
+UNREADABLE = [
+    "name = vm-1\n",
+    "[vm]\nname\n",
+    "[vm]\nname = a\nname = b\n",
+    "[vm]\n[vm]\n",
+    "",
+]
+
+
+@pytest.mark.parametrize("text", UNREADABLE, ids=range(len(UNREADABLE)))
+def test_text_that_is_no_ini_is_a_fault(text):
+    """Guards against a parser error that ends as a traceback."""
+    assert all(fault.path == "vm.ini" for fault in faults_of(text))
+
+
+def test_file_that_cannot_be_read_is_a_fault(tmp_path):
+    """Guards against a traceback for a wrong path or encoding."""
+    path = tmp_path / "vm.ini"
+    for prepare in (lambda: None, lambda: path.write_bytes(b"\xff\xfe")):
+        prepare()
+        with pytest.raises(SettingsError) as caught:
+            load_settings(path)
+        assert str(path) in str(caught.value)
+
+
+def test_percent_signs_are_plain_text():
+    """Guards against interpolation, which makes a % in a path a fault."""
+    settings = parse_settings(write([("peer", "secret_file", "/a%b%%c")]))
+    assert settings.peer.secret_file == "/a%b%%c"
+
+
+@pytest.mark.parametrize(
+    ("text", "value"),
+    [
+        ("yes", True),
+        ("ON", True),
+        ("1", True),
+        ("no", False),
+        ("False", False),
+        ("0", False),
+    ],
+)
+def test_booleans_are_read(text, value):
+    """Guards against a no that counts as yes."""
+    settings = parse_settings(write([("control", "bootstrap", text)]))
+    assert settings.control.bootstrap is value
+
+
+@pytest.mark.parametrize("section", sorted(SCHEMA))
+def test_limits_themselves_are_allowed(section):
+    """Guards against a range that excludes its own ends."""
+    cls, options = SCHEMA[section]
+    for option in options:
+        for limit in (option.lowest, option.highest):
+            if limit is None:
+                continue
+            text = str(int(limit) if option.type == "int" else limit)
+            try:
+                parse_settings(write([(section, option.name, text)]))
+            except SettingsError as error:
+                own = [f for f in error.faults if f.value == text]
+                assert all("heartbeats" in f.detail for f in own), own
