--- a/medlarhollow/control/demand.py
+++ b/medlarhollow/control/demand.py
@@ -14,7 +14,15 @@
 
 @attrs.frozen
 class Need:
-    """Demand in one data centre, in requests per second."""
+    """Demand in one data centre, in requests per second.
+
+    Attributes
+    ----------
+    rate_per_s : float
+        All requests, those that were turned away included.
+    unmet_per_s : float
+        Requests that were turned away.
+    """
 
     rate_per_s: float = 0.0
     unmet_per_s: float = 0.0
--- a/medlarhollow/control/duties.py
+++ b/medlarhollow/control/duties.py
@@ -17,8 +17,10 @@
 __all__ = ["DUTY_S", "Duties"]
 
 _LOG = logging.getLogger(__name__)
-# Time between two rounds, and time that one sample of a VM covers.
+# Time between two rounds.
 DUTY_S = 0.5
+# Time that one demand sample of a VM covers, see `Limiter.demands`.
+_DEMAND_S = 1.0
 # Time in which VMs find a new leader: a silent upstream is left after 2 s.
 _ROSTER_MARGIN_S = 2.0
 
@@ -90,7 +92,7 @@
             now + settings.control.vm_lease_s + _ROSTER_MARGIN_S
         )
         self._leases = LeaseWatch(settings, now)
-        self._demand = DemandWatch(DUTY_S, now)
+        self._demand = DemandWatch(_DEMAND_S, now)
         self._moves = MoveDuty()
 
     def plan(self, state, reports, versions, demands, now, unix_now):
--- a/medlarhollow/control/shares.py
+++ b/medlarhollow/control/shares.py
@@ -144,10 +144,8 @@
 
 
 def _find_target(account, shares, active, demand):
-    needs = {place: demand.need(account.name, place) for place in active}
     weights = {
-        place: need.rate_per_s + need.unmet_per_s
-        for place, need in needs.items()
+        place: demand.need(account.name, place).rate_per_s for place in active
     }
     if not any(weights.values()):
         # Nothing is known of the demand, for example after a leader change.
--- a/medlarhollow/control/tests/test_allocators.py
+++ b/medlarhollow/control/tests/test_allocators.py
@@ -89,6 +89,15 @@
     assert planned(state, leases, 100.0 + LEASE_S * 1.5 + 0.1)
 
 
+def test_a_new_leader_does_not_trust_an_old_report():
+    """The holder may have renewed since through the leader before."""
+    state = held_state("a1", "a2")
+    accept(state, SetVm(vm("a1", state=VmState.GONE)))
+    leases = make_leases(now=100.0)
+    leases.update([report(vm("a1"), age_s=2.9)], 100.0)
+    assert planned(state, leases, 102.0) == {}
+
+
 def test_a_new_incarnation_waits_for_the_lease_of_the_old_one():
     """A restarted VM is another process: it begins with no tokens, and what
     the old one handed out may still be spent."""
--- a/medlarhollow/daemon/process.py
+++ b/medlarhollow/daemon/process.py
@@ -29,7 +29,7 @@
 from ..messages.records import Vm
 from ..messages.records import VmReport
 from ..messages.records import VmState
-from ..moves import SampleCounter
+from ..moves import VersionSelector
 from ..steering import Dispatcher
 from ..transport import Channels
 from ..transport import PeerServer
@@ -76,10 +76,14 @@
         self._incarnation = uuid.uuid4().hex
         self._directory = Directory(settings)
         self._limiter = Limiter(settings, self._copy, self._channels)
+        self._samples = VersionSelector(settings, self._copy)
         self._dispatcher = Dispatcher(
-            settings, self._copy, self._directory, self._channels
+            settings,
+            self._copy,
+            self._directory,
+            self._channels,
+            self._samples,
         )
-        self._samples = SampleCounter(settings)
         self._replica = None
         if "control" in settings.vm.roles:
             self._replica = Replica(settings, self._channels)
--- a/medlarhollow/entry/vm.py
+++ b/medlarhollow/entry/vm.py
@@ -5,7 +5,7 @@
 from ..control import ControlClient
 from ..limits import Limiter
 from ..membership import Directory
-from ..moves import SampleCounter
+from ..moves import VersionSelector
 from ..settings import Settings
 from ..steering import Dispatcher
 
@@ -28,7 +28,7 @@
         Shares of rate and burst.
     dispatcher : Dispatcher
         Slots of backend servers.
-    samples : SampleCounter
+    samples : VersionSelector
         How versions answer.
     control : ControlClient
         Proposes claims.
@@ -41,6 +41,6 @@
     directory: Directory
     limiter: Limiter
     dispatcher: Dispatcher
-    samples: SampleCounter
+    samples: VersionSelector
     control: ControlClient
     client: object
--- a/medlarhollow/moves/__init__.py
+++ b/medlarhollow/moves/__init__.py
@@ -1,6 +1,7 @@
 """Moves to new versions and shifts between presets."""
 
 from .samples import SampleCounter
+from .selector import VersionSelector
 from .versions import choose_version
 
-__all__ = ["SampleCounter", "choose_version"]
+__all__ = ["SampleCounter", "VersionSelector", "choose_version"]
--- a/medlarhollow/moves/samples.py
+++ b/medlarhollow/moves/samples.py
@@ -1,7 +1,5 @@
 """Count how the versions of a service answer on this VM."""
 
-import attrs
-
 from ..messages.records import VersionSample
 
 __all__ = ["SampleCounter"]
@@ -30,17 +28,13 @@
         error, slow, unanswered : bool
             How it went.
         """
-        place = (service, version, route)
-        known = self._counts.get(place)
-        if known is None:
-            known = VersionSample(service, version, route, self._region)
-        self._counts[place] = attrs.evolve(
-            known,
-            requests=known.requests + 1,
-            errors=known.errors + error,
-            slow=known.slow + slow,
-            unanswered=known.unanswered + unanswered,
-        )
+        counts = self._counts.get((service, version, route))
+        if counts is None:
+            counts = self._counts[(service, version, route)] = [0, 0, 0, 0]
+        counts[0] += 1
+        counts[1] += error
+        counts[2] += slow
+        counts[3] += unanswered
 
     def take(self):
         """Return the counts since the last call and start again.
@@ -50,6 +44,9 @@
         tuple of VersionSample
             One for each version and route that was used.
         """
-        counts = tuple(self._counts.values())
+        samples = tuple(
+            VersionSample(service, version, route, self._region, *counts)
+            for (service, version, route), counts in self._counts.items()
+        )
         self._counts.clear()
-        return counts
+        return samples
--- a/medlarhollow/steering/dispatcher.py
+++ b/medlarhollow/steering/dispatcher.py
@@ -7,7 +7,7 @@
 
 from ..errors import fail
 from ..messages.records import ErrorKind
-from ..moves import choose_version
+from ..moves import VersionSelector
 from .assignment import Assignment
 
 __all__ = ["Dispatcher"]
@@ -26,9 +26,12 @@
         Backend servers of the data centre.
     channels : Channels
         Connections to VMs of other data centres.
+    versions : VersionSelector or None
+        Chooses versions; None for one of its own.
     """
 
-    def __init__(self, settings, copy, directory, channels):
+    def __init__(self, settings, copy, directory, channels, versions=None):
+        self._versions = versions or VersionSelector(settings, copy)
         self._settings = settings
         self._copy = copy
         self._directory = directory
@@ -52,7 +55,9 @@
             ``DEADLINE_EXCEEDED``. Each assignment must be released.
         """
         service = demand.route.service
-        version = choose_version(self._copy.state, service, demand.point)
+        version = self._versions.choose(
+            service, demand.point, time.monotonic()
+        )
         servers = [
             server
             for server in self._directory.servers(
