--- a/medlarhollow/control/duties.py
+++ b/medlarhollow/control/duties.py
@@ -5,6 +5,7 @@
 import time
 import uuid
 
+from ..limits import DEMAND_PERIOD_S
 from ..messages.records import Change
 from .allocators import plan_allocators
 from .demand import DemandWatch
@@ -19,8 +20,6 @@
 _LOG = logging.getLogger(__name__)
 # Time between two rounds.
 DUTY_S = 0.5
-# Time that one demand sample of a VM covers, see `Limiter.demands`.
-_DEMAND_S = 1.0
 # Time in which VMs find a new leader: a silent upstream is left after 2 s.
 _ROSTER_MARGIN_S = 2.0
 
@@ -92,7 +91,7 @@
             now + settings.control.vm_lease_s + _ROSTER_MARGIN_S
         )
         self._leases = LeaseWatch(settings, now)
-        self._demand = DemandWatch(_DEMAND_S, now)
+        self._demand = DemandWatch(DEMAND_PERIOD_S, now)
         self._moves = MoveDuty()
 
     def plan(self, state, reports, versions, demands, now, unix_now):
