--- a/medlarhollow/daemon/process.py
+++ b/medlarhollow/daemon/process.py
@@ -31,7 +31,7 @@
 from ..messages.records import Vm
 from ..messages.records import VmReport
 from ..messages.records import VmState
-from ..moves import SampleCounter
+from ..moves import VersionSelector
 from ..steering import Dispatcher
 from ..telemetry import Telemetry
 from ..transport import Channels
@@ -94,10 +94,14 @@
             self._allocator,
             self._incarnation,
         )
+        self._samples = VersionSelector(settings, self._copy)
         self._dispatcher = Dispatcher(
-            settings, self._copy, self._directory, self._channels
+            settings,
+            self._copy,
+            self._directory,
+            self._channels,
+            self._samples,
         )
-        self._samples = SampleCounter(settings)
         self._replica = None
         if "control" in settings.vm.roles:
             self._replica = Replica(settings, self._channels)
