Exchange the directory between the VMs of a data centre

Cause: each entry VM knew only the servers that announced themselves to it, and look-ups were ordered by name alone.

Change: Exchange keeps one stream for each pair of VMs and sends a message a second with what changed; new records, leaving and changes of the voucher are sent at once. Directory orders news by a sequence number that each announcement raises above what is known, remembers what each VM described, and accepts a restarted VM that counts anew.

Conclusion: every VM of a data centre can use all its servers; the dispatcher follows.

--- a/medlarhollow/daemon/fleet_service.py
+++ b/medlarhollow/daemon/fleet_service.py
@@ -22,13 +22,16 @@
         Takes the reports of downstream VMs.
     allocator : ShareAllocator
         Hands out tokens of the data centre's shares.
+    exchange : Exchange
+        Exchanges the directory with the VMs of the data centre.
     """
 
-    def __init__(self, settings, source, reports, allocator):
+    def __init__(self, settings, source, reports, allocator, exchange):
         self._settings = settings
         self._source = source
         self._reports = reports
         self._allocator = allocator
+        self._exchange = exchange
 
     async def Sync(self, stream):
         """Serve the agreed state to one downstream VM."""
@@ -36,8 +39,7 @@
 
     async def Exchange(self, stream):
         """Exchange directory updates with one VM of the data centre."""
-        async for _ in stream:
-            pass
+        await self._exchange.serve(stream)
 
     async def AcquireTokens(self, stream):
         """Hand out tokens of this data centre's share."""
--- a/medlarhollow/daemon/process.py
+++ b/medlarhollow/daemon/process.py
@@ -25,6 +25,7 @@
 from ..limits import Limiter
 from ..limits import ShareAllocator
 from ..membership import Directory
+from ..membership import Exchange
 from ..messages.records import SyncRequest
 from ..messages.records import Vm
 from ..messages.records import VmReport
@@ -89,6 +90,13 @@
         self._dispatcher = Dispatcher(
             settings, self._copy, self._directory, self._channels
         )
+        self._exchange = Exchange(
+            settings,
+            self._copy,
+            self._directory,
+            self._channels,
+            self._own_vm,
+        )
         self._samples = SampleCounter(settings)
         self._replica = None
         if "control" in settings.vm.roles:
@@ -124,7 +132,11 @@
 
     def _services(self):
         fleet = FleetService(
-            self._settings, self._source, self._reports, self._allocator
+            self._settings,
+            self._source,
+            self._reports,
+            self._allocator,
+            self._exchange,
         )
         if self._replica is None:
             return [fleet]
@@ -141,6 +153,7 @@
         )
         if "entry" in self._settings.vm.roles:
             yield self._limiter.run()
+            yield self._exchange.run()
             yield self._dispatcher.run()
         if self._replica is not None:
             yield self._keep_roster()
--- a/medlarhollow/limits/tests/test_limiter.py
+++ b/medlarhollow/limits/tests/test_limiter.py
@@ -141,6 +141,18 @@
     assert time.monotonic() - started_at < 1.0
 
 
+async def test_spending_on_one_vm_soon_frees_the_burst_for_another(make_world):
+    """Guards against a spent token that counts as outstanding for its whole
+    lease when no request of the same VM follows."""
+    world = await make_world(("north-a", 20.0, 1.0))
+    settings = make_settings("other", world.folder)
+    other = Limiter(settings, world.copy, world.channels)
+    assert (await world.admit()).is_ok()
+    started_at = time.monotonic()
+    assert (await other.admit("crew", started_at + 5)).is_ok()
+    assert time.monotonic() - started_at < 0.7
+
+
 async def test_what_is_above_the_rate_waits_and_is_then_refused(make_world):
     """Guards the wait limit: refused only after it, and not much later."""
     world = await make_world(("north-a", 10.0, 5.0))
--- a/medlarhollow/membership/__init__.py
+++ b/medlarhollow/membership/__init__.py
@@ -2,6 +2,14 @@
 
 from .announcement import check_announcement
 from .directory import Directory
+from .exchange import Exchange
+from .exchange import OwnLoad
 from .lookup import list_entry_vms
 
-__all__ = ["Directory", "check_announcement", "list_entry_vms"]
+__all__ = [
+    "Directory",
+    "Exchange",
+    "OwnLoad",
+    "check_announcement",
+    "list_entry_vms",
+]
--- /dev/null
+++ b/medlarhollow/membership/tests/test_exchange.py
@@ -0,0 +1,262 @@
+"""Streams between the VMs of a data centre."""
+
+import asyncio
+import time
+
+import attrs
+import pytest
+
+from medlarhollow.limits.tests.support import make_settings
+from medlarhollow.limits.tests.support import make_state
+from medlarhollow.limits.tests.support import StandInCopy
+from medlarhollow.localfleet.ports import free_addresses
+from medlarhollow.membership import Directory
+from medlarhollow.membership import Exchange
+from medlarhollow.membership import OwnLoad
+from medlarhollow.messages.services import FleetBase
+from medlarhollow.transport import Channels
+from medlarhollow.transport import PeerServer
+
+from .test_directory import make_server
+
+LIMIT_S = 10.0
+
+
+async def eventually(check):
+    async with asyncio.timeout(LIMIT_S):
+        while not check():
+            await asyncio.sleep(0.02)
+
+
+class Relay:
+    """Passes bytes on to an address until it is told to swallow them."""
+
+    def __init__(self, address):
+        self.target = address.split(":")
+        self.connections = 0
+        self.silent = set()
+
+    async def start(self):
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        port = self.server.sockets[0].getsockname()[1]
+        return f"127.0.0.1:{port}"
+
+    async def serve(self, reader, writer):
+        self.connections += 1
+        number = self.connections
+        other_reader, other_writer = await asyncio.open_connection(
+            *self.target
+        )
+        await asyncio.gather(
+            self.copy(number, reader, other_writer),
+            self.copy(number, other_reader, writer),
+        )
+
+    async def copy(self, number, reader, writer):
+        while data := await reader.read(65536):
+            if number not in self.silent:
+                writer.write(data)
+        writer.close()
+
+
+class Service(FleetBase):
+    def __init__(self, exchange):
+        self.exchange = exchange
+
+    async def Exchange(self, stream):
+        await self.exchange.serve(stream)
+
+    async def Sync(self, stream):
+        raise NotImplementedError
+
+    async def AcquireTokens(self, stream):
+        raise NotImplementedError
+
+    async def AcquireCredit(self, stream):
+        raise NotImplementedError
+
+
+class Member:
+    """An entry VM with its directory, server and streams."""
+
+    def __init__(self, folder, name, address, state):
+        self.settings = make_settings(
+            name,
+            folder,
+            peer__listen=address,
+            peer__silence_timeout_s="1.5",
+        )
+        self.vm = state.vms[name]
+        self.in_flight = {}
+        self.directory = Directory(self.settings)
+        self.channels = Channels(self.settings)
+        self.exchange = Exchange(
+            self.settings,
+            StandInCopy(state),
+            self.directory,
+            self.channels,
+            lambda: self.vm,
+            lambda now: OwnLoad(in_flight=dict(self.in_flight)),
+        )
+        self.server = PeerServer(self.settings, [Service(self.exchange)])
+
+    async def start(self):
+        await self.server.start()
+        self.running = asyncio.create_task(self.exchange.run())
+
+    async def stop(self):
+        self.running.cancel()
+        await asyncio.gather(self.running, return_exceptions=True)
+        self.channels.close()
+        await self.server.stop()
+
+    def announce(self, **more):
+        self.directory.announce(make_server(**more), time.monotonic())
+
+    def usable(self):
+        found = self.directory.servers("plots", "1", time.monotonic())
+        return [server.server_id for server in found]
+
+    def hears(self, *names):
+        live = self.directory.peers.live(time.monotonic())
+        return set(live) == set(names)
+
+
+@pytest.fixture
+async def make_members(tmp_path):
+    members = []
+
+    async def make(names, relay_to=None):
+        addresses = dict(zip(names, free_addresses(len(names)), strict=True))
+        seen = dict(addresses)
+        relay = None
+        if relay_to:
+            relay = Relay(addresses[relay_to])
+            seen[relay_to] = await relay.start()
+        state = make_state(
+            vms=[(name, "north", "north-a", seen[name]) for name in names]
+        )
+        for name in names:
+            member = Member(tmp_path, name, addresses[name], state)
+            members.append(member)
+            await member.start()
+        return (*members, relay) if relay else members
+
+    yield make
+    for member in members:
+        await member.stop()
+
+
+async def test_three_vms_share_their_servers_and_counts(make_members):
+    """Guards the directory of a data centre: each VM can use every server
+    and knows the requests that others have there."""
+    members = await make_members(["a", "b", "c"])
+    a, b, c = members
+    await eventually(lambda: a.hears("b", "c") and c.hears("a", "b"))
+    a.announce()
+    b.announce(server_id="s2", address="127.0.0.1:8")
+    b.in_flight = {"s1": 2}
+    c.in_flight = {"s1": 1}
+    await eventually(
+        lambda: all(set(one.usable()) == {"s1", "s2"} for one in members)
+    )
+    await eventually(
+        lambda: a.directory.peers.in_flight("s1", time.monotonic()) == 3
+    )
+
+
+async def test_a_leaving_server_is_known_at_once(make_members):
+    """Guards against news that waits for the next message of the stream."""
+    a, b = await make_members(["a", "b"])
+    # By then one stream is left.
+    await asyncio.sleep(1.5)
+    a.announce()
+    await eventually(lambda: b.usable() == ["s1"])
+    # The stream has just sent its periodic message.
+    heard = b.directory.peers._peers["a"]
+    heard_at = heard.heard_at
+    await eventually(lambda: heard.heard_at > heard_at)
+    started_at = time.monotonic()
+    a.announce(leaving=True)
+    await eventually(lambda: b.usable() == [])
+    assert time.monotonic() - started_at < 0.5
+
+
+async def test_only_one_stream_of_a_pair_is_kept(make_members):
+    """Guards the bytes that a data centre of many VMs spends."""
+    a, b = await make_members(["a", "b"])
+    await eventually(lambda: a.hears("b") and b.hears("a"))
+    await asyncio.sleep(1.5)
+    assert len(a.exchange._wakers) == len(b.exchange._wakers) == 1
+
+
+async def test_a_silent_stream_is_replaced_by_a_new_connection(make_members):
+    """Guards against a connection that stays open but passes nothing."""
+    a, b, relay = await make_members(["a", "b"], relay_to="b")
+    await eventually(lambda: a.hears("b") and b.hears("a"))
+    connections = relay.connections
+    relay.silent = set(range(1, connections + 1))
+    await asyncio.sleep(1.0)
+    a.announce()
+    await eventually(lambda: relay.connections > connections)
+    await eventually(lambda: b.usable() == ["s1"])
+
+
+class MuteService(Service):
+    """Takes streams and never says anything, as a stuck task would."""
+
+    def __init__(self):
+        self.streams = 0
+
+    async def Exchange(self, stream):
+        self.streams += 1
+        async for _ in stream:
+            pass
+
+
+async def test_a_peer_that_says_nothing_gets_a_new_connection(
+    make_members, tmp_path
+):
+    """Guards against a stream whose connection answers pings but which
+    itself is dead."""
+    [a] = await make_members(["a"])
+    [address] = free_addresses(1)
+    settings = make_settings("b", tmp_path, peer__listen=address)
+    mute = MuteService()
+    server = PeerServer(settings, [mute])
+    await server.start()
+    state = make_state(vms=[("b", "north", "north-a", address)])
+    a.exchange._copy.state.vms.update(state.vms)
+    try:
+        await eventually(lambda: mute.streams >= 2)
+    finally:
+        await server.stop()
+
+
+async def test_a_dead_peer_is_silent_and_comes_back(make_members, tmp_path):
+    """Guards liveness: a dead VM is not live, its successor is."""
+    a, b = await make_members(["a", "b"])
+    await eventually(lambda: a.hears("b"))
+    await b.stop()
+    await eventually(lambda: a.hears())
+    state = make_state(
+        vms=[
+            ("a", "north", "north-a", a.settings.peer.listen),
+            ("b", "north", "north-a", b.settings.peer.listen),
+        ]
+    )
+    again = Member(tmp_path, "b", b.settings.peer.listen, state)
+    again.vm = attrs.evolve(again.vm, incarnation="b#2")
+    await again.start()
+    await eventually(lambda: a.hears("b"))
+    await again.stop()
+
+
+async def test_a_vm_of_another_data_centre_is_refused(make_members):
+    """Guards the directory against a peer list with a wrong address."""
+    a, b = await make_members(["a", "b"])
+    await eventually(lambda: a.hears("b"))
+    b.vm = attrs.evolve(b.vm, data_centre="north-b")
+    b.announce()
+    await asyncio.sleep(1.2)
+    assert a.usable() == []
--- a/medlarhollow/messages/records.py
+++ b/medlarhollow/messages/records.py
@@ -831,6 +831,7 @@
     sequence: int = 0
     in_flight: int = 0
     lease_left_s: float = 0.0
+    instance: str = ""
 
 
 @attrs.frozen
