Dispatch requests by slots, a fair queue and credit

Cause: the dispatcher chose a server at random, without slots, queue, ejection or a way to other data centres.

Change: Slots counts the requests of this VM and of its peers and never gives more than a server has; while requests wait for a server at another VM, this one keeps to its part. The server is the better of two random ones by requests in flight over effective slots, with reported load as a hint that ages out within 3 s. FairQueue orders by priority, one in ten from a lower one, and by start-time fair queueing between accounts; it sheds what cannot meet its deadline and, when full, the longest line of the least important work. Spill keeps credit at other data centres, granted from measured headroom, the preset's reserve and the link budget; the lease counts from the request. The weights of the active preset decide which part of new work goes to other regions. A version of a move without servers gives way to the version in force.

--- a/medlarhollow/daemon/fleet_service.py
+++ b/medlarhollow/daemon/fleet_service.py
@@ -3,7 +3,6 @@
 import time
 
 from ..distribution import serve_sync
-from ..messages.records import CreditResponse
 from ..messages.services import FleetBase
 
 __all__ = ["FleetService"]
@@ -24,14 +23,19 @@
         Hands out tokens of the data centre's shares.
     exchange : Exchange
         Exchanges the directory with the VMs of the data centre.
+    dispatcher : Dispatcher
+        Grants credit from measured headroom.
     """
 
-    def __init__(self, settings, source, reports, allocator, exchange):
+    def __init__(
+        self, settings, source, reports, allocator, exchange, dispatcher
+    ):
         self._settings = settings
         self._source = source
         self._reports = reports
         self._allocator = allocator
         self._exchange = exchange
+        self._dispatcher = dispatcher
 
     async def Sync(self, stream):
         """Serve the agreed state to one downstream VM."""
@@ -50,5 +54,9 @@
 
     async def AcquireCredit(self, stream):
         """Grant credit for requests from another data centre."""
-        await stream.recv_message()
-        await stream.send_message(CreditResponse())
+        request = await stream.recv_message()
+        if request is not None:
+            now = time.monotonic()
+            await stream.send_message(
+                self._dispatcher.grant_credit(request, now)
+            )
--- a/medlarhollow/daemon/process.py
+++ b/medlarhollow/daemon/process.py
@@ -96,6 +96,7 @@
             self._directory,
             self._channels,
             self._own_vm,
+            self._dispatcher.own_load,
         )
         self._samples = SampleCounter(settings)
         self._replica = None
@@ -137,6 +138,7 @@
             self._reports,
             self._allocator,
             self._exchange,
+            self._dispatcher,
         )
         if self._replica is None:
             return [fleet]
--- a/medlarhollow/limits/limiter.py
+++ b/medlarhollow/limits/limiter.py
@@ -138,6 +138,8 @@
             async with asyncio.timeout(max(0.0, limit_at - now)):
                 await waiter
         except TimeoutError:
+            if waiter.done() and not waiter.cancelled():
+                return Ok(None)
             line.refusals += 1
             return fail(
                 ErrorKind.RATE_LIMITED,
--- a/medlarhollow/membership/directory.py
+++ b/medlarhollow/membership/directory.py
@@ -25,12 +25,15 @@
         Monotonic time in seconds to which its reported load belongs.
     peers_in_flight : int
         Requests that the other VMs of the data centre have there.
+    is_wanted : bool
+        Whether requests wait for it at another VM.
     """
 
     server: object
     since: float
     load_at: float
-    peers_in_flight: int
+    peers_in_flight: int = 0
+    is_wanted: bool = False
 
 
 @attrs.define
@@ -141,10 +144,15 @@
                 entry.since,
                 entry.load_at,
                 self._peers.in_flight(entry.server.server_id, now),
+                self._peers.is_wanted(entry.server.server_id, now),
             )
             for entry in self._usable(service, version, now)
         ]
 
+    def known(self):
+        """Return the identifiers of all servers that are remembered."""
+        return set(self._entries)
+
     def vouched(self, now):
         """Return the servers that this VM vouches for.
 
--- a/medlarhollow/membership/exchange.py
+++ b/medlarhollow/membership/exchange.py
@@ -26,6 +26,8 @@
     ----------
     in_flight : dict of str to int
         By backend server.
+    wanted : frozenset of str
+        Backend servers for which requests wait here.
     free_slots : int
         Slots of the data centre that are free.
     queued : int
@@ -33,6 +35,7 @@
     """
 
     in_flight: dict = attrs.field(factory=dict)
+    wanted: frozenset = frozenset()
     free_slots: int = 0
     queued: int = 0
 
--- a/medlarhollow/membership/news.py
+++ b/medlarhollow/membership/news.py
@@ -18,7 +18,7 @@
         self._sequence = 0
         self._vm = None
         self._sent = {}
-        self._in_flight = {}
+        self._loads = {}
 
     def next_update(self, vm, directory, load, now):
         """Return the next message.
@@ -56,19 +56,25 @@
         removed = [
             name for name in ended if not directory.is_vouched_elsewhere(name)
         ]
-        for server_id in {*counts, *self._in_flight}:
-            count = counts.get(server_id, 0)
-            if count != self._in_flight.get(server_id, 0):
-                known = records.get(server_id, BackendServer(server_id))
-                records[server_id] = known
-        self._in_flight = dict(counts)
+        loads = {
+            server_id: (counts.get(server_id, 0), server_id in load.wanted)
+            for server_id in {*counts, *load.wanted}
+        }
+        for server_id in {*loads, *self._loads}:
+            if loads.get(server_id) != self._loads.get(server_id):
+                records.setdefault(server_id, BackendServer(server_id))
+        self._loads = loads
         is_same = vm == self._vm
         self._vm = vm
         return ExchangeUpdate(
             vm=None if is_same else vm,
             sequence=self._sequence,
             servers=tuple(
-                attrs.evolve(record, in_flight=counts.get(server_id, 0))
+                attrs.evolve(
+                    record,
+                    in_flight=counts.get(server_id, 0),
+                    wanted=server_id in load.wanted,
+                )
                 for server_id, record in records.items()
             ),
             removed=tuple(removed),
--- a/medlarhollow/membership/peers.py
+++ b/medlarhollow/membership/peers.py
@@ -13,6 +13,7 @@
     vm: object
     heard_at: float
     in_flight: dict = attrs.field(factory=dict)
+    wanted: set = attrs.field(factory=set)
     free_slots: int = 0
     queued: int = 0
 
@@ -57,11 +58,16 @@
         if update.sequence == 1:
             # The first update of a stream names everything.
             peer.in_flight.clear()
+            peer.wanted.clear()
         for server in update.servers:
             if server.in_flight:
                 peer.in_flight[server.server_id] = server.in_flight
             else:
                 peer.in_flight.pop(server.server_id, None)
+            if server.wanted:
+                peer.wanted.add(server.server_id)
+            else:
+                peer.wanted.discard(server.server_id)
         return is_new
 
     def in_flight(self, server_id, now):
@@ -104,6 +110,26 @@
             if self._is_heard(peer, now)
         }
 
+    def is_wanted(self, server_id, now):
+        """Tell whether requests wait for a server at a live peer.
+
+        Parameters
+        ----------
+        server_id : str
+            Identifier of the backend server.
+        now : float
+            Monotonic time in seconds.
+
+        Returns
+        -------
+        bool
+            From the last update of each.
+        """
+        return any(
+            server_id in peer.wanted and self._is_heard(peer, now)
+            for peer in self._peers.values()
+        )
+
     def takes_callers(self, vm, now):
         """Tell whether a VM of the roster should be named to callers.
 
--- a/medlarhollow/messages/records.py
+++ b/medlarhollow/messages/records.py
@@ -832,6 +832,7 @@
     in_flight: int = 0
     lease_left_s: float = 0.0
     instance: str = ""
+    wanted: bool = False
 
 
 @attrs.frozen
--- /dev/null
+++ b/medlarhollow/steering/choice.py
@@ -0,0 +1,137 @@
+"""Choose the backend server for a request."""
+
+import attrs
+
+__all__ = ["Candidate", "choose_server", "list_candidates"]
+
+# A new server starts at this part of its slots.
+_COLD_PART = 0.1
+# Reported load changes a score by at most this part, and nothing once it is
+# older than the limit: it can lag or mislead, requests in flight cannot.
+_LOAD_WEIGHT = 0.5
+_LOAD_AGE_LIMIT_S = 3.0
+
+
+@attrs.frozen
+class Candidate:
+    """A server with what counts for the choice.
+
+    Attributes
+    ----------
+    view : ServerView
+        The server.
+    in_flight : int
+        Requests of all VMs of the data centre, as far as known.
+    slots : float
+        Effective slots, fewer while it is new.
+    free : int
+        Requests that this VM may add.
+    score : float
+        The lower the better.
+    """
+
+    view: object
+    in_flight: int
+    slots: float
+    free: int
+    score: float
+
+
+def list_candidates(views, own_in_flight, vms, warm_at, now, ramp_s):
+    """Return the servers of a pool with their free slots and scores.
+
+    Parameters
+    ----------
+    views : list of ServerView
+        Servers that may get work.
+    own_in_flight : dict of str to int
+        Requests of this VM by server.
+    vms : int
+        Live VMs of the data centre.
+    warm_at : callable
+        Returns for a view the monotonic time in seconds from which its slow
+        start counts.
+    now : float
+        Monotonic time in seconds.
+    ramp_s : float
+        Length of the slow start in seconds.
+
+    Returns
+    -------
+    list of Candidate
+        One for each view. Slow start limits a server only while others of
+        the pool are past it: a pool that is all new must serve everything.
+    """
+    parts = [_warm_part(now - warm_at(view), ramp_s) for view in views]
+    warmest = max(parts, default=1.0)
+    candidates = []
+    for view, part in zip(views, parts, strict=True):
+        slots = view.server.slots * part / warmest
+        own = own_in_flight.get(view.server.server_id, 0)
+        in_flight = own + view.peers_in_flight
+        limit = min(view.server.slots, max(1, round(slots)))
+        free = limit - in_flight
+        if view.is_wanted:
+            # Other VMs wait for it, so this one keeps to its part.
+            free = min(free, max(1, view.server.slots // vms) - own)
+        candidates.append(
+            Candidate(
+                view,
+                in_flight,
+                slots,
+                free,
+                _score(view, in_flight, slots, now),
+            )
+        )
+    return candidates
+
+
+def choose_server(candidates, excluded, generator):
+    """Choose by the power of two choices.
+
+    Parameters
+    ----------
+    candidates : list of Candidate
+        The pool.
+    excluded : frozenset of str
+        Servers that were tried already.
+    generator : random.Random
+        Draws the two.
+
+    Returns
+    -------
+    Candidate or None
+        The better of two drawn at random among those with a free slot; None
+        if there is none.
+
+    Notes
+    -----
+    Mitzenmacher (2001), "The Power of Two Choices in Randomized Load
+    Balancing": two random candidates come close to the least loaded one, but
+    VMs that decide on old counts do not all choose the same server.
+    """
+    free = [
+        candidate
+        for candidate in candidates
+        if candidate.free > 0
+        and candidate.view.server.server_id not in excluded
+    ]
+    if len(free) <= 1:
+        return free[0] if free else None
+    return min(
+        generator.sample(free, 2), key=lambda candidate: candidate.score
+    )
+
+
+def _warm_part(age_s, ramp_s):
+    if age_s >= ramp_s:
+        return 1.0
+    return _COLD_PART + (1 - _COLD_PART) * max(0.0, age_s) / ramp_s
+
+
+def _score(view, in_flight, slots, now):
+    score = (in_flight + 1) / max(slots, 0.01)
+    load = min(max(view.server.load, 0.0), 1.0)
+    age_s = max(0.0, now - view.load_at)
+    weight = _LOAD_WEIGHT * max(0.0, 1 - age_s / _LOAD_AGE_LIMIT_S)
+    return score * (1 + weight * load)
--- a/medlarhollow/steering/dispatcher.py
+++ b/medlarhollow/steering/dispatcher.py
@@ -1,17 +1,36 @@
 """Give each request a slot of a backend server."""
 
+import asyncio
+import logging
+import math
 import random
 import time
 
 from result import Ok
 
 from ..errors import fail
+from ..membership import OwnLoad
+from ..messages.records import BackendServer
+from ..messages.records import CreditResponse
 from ..messages.records import ErrorKind
 from ..moves import choose_version
 from .assignment import Assignment
+from .assignment import AttemptResult
+from .choice import choose_server
+from .pool import Pool
+from .pool import Waiting
+from .slots import Slots
+from .spill import Spill
 
 __all__ = ["Dispatcher"]
 
+_LOG = logging.getLogger(__name__)
+# Leases, ejections and slow starts end without an event.
+_TICK_S = 0.1
+# Longest wait for credit when the data centre has no server of a service.
+_CREDIT_WAIT_S = 1.0
+_UNUSED_POOL_S = 60.0
+
 
 class Dispatcher:
     """Queue requests and assign them to backend servers.
@@ -32,10 +51,26 @@
         self._settings = settings
         self._copy = copy
         self._directory = directory
-        self._channels = channels
+        self._pools = {}
+        self._slots = Slots(settings, directory)
+        self._spill = Spill(settings, copy, channels)
+        self._generator = random.Random()
+        self._asking = {}
+        directory.subscribe(self._pump_all)
 
     async def run(self):
-        """Keep credit of other data centres until cancelled."""
+        """Serve waiting requests and keep credit until cancelled."""
+        try:
+            while True:
+                await asyncio.sleep(_TICK_S)
+                now = time.monotonic()
+                self._pump_all()
+                for pool in list(self._pools.values()):
+                    self._seek_credit(pool, now)
+                self._forget(now)
+        finally:
+            for task in self._asking.values():
+                task.cancel()
 
     async def acquire(self, demand):
         """Wait for a slot.
@@ -51,20 +86,31 @@
             ``Ok`` with an `Assignment`, or ``NO_BACKEND``, ``OVERLOADED`` or
             ``DEADLINE_EXCEEDED``. Each assignment must be released.
         """
-        service = demand.route.service
-        version = choose_version(self._copy.state, service, demand.point)
-        servers = [
-            server
-            for server in self._directory.servers(
-                service, version, time.monotonic()
+        now = time.monotonic()
+        if demand.route.service not in self._copy.state.services:
+            return fail(
+                ErrorKind.NO_BACKEND, f"no service '{demand.route.service}'"
             )
-            if server.server_id not in demand.excluded
-        ]
-        if not servers:
+        pool = self._pool(demand, now)
+        assignment = self._send_away(pool, demand, now)
+        if assignment is not None:
+            return Ok(assignment)
+        if not len(pool.queue):
+            candidates = self._candidates(pool, now)
+            assignment = self._assign(pool, demand, candidates, now)
+            if assignment is not None:
+                return Ok(assignment)
+        limit_at = demand.deadline_at
+        if not self._views(pool, demand.excluded, now):
+            if demand.local_only or not self._spill.has_others():
+                return _no_backend(pool)
+            limit_at = min(limit_at, now + _CREDIT_WAIT_S)
+        elif now + pool.expected_wait_s(demand) >= demand.deadline_at:
             return fail(
-                ErrorKind.NO_BACKEND, f"no backend server of '{service}'"
+                ErrorKind.OVERLOADED,
+                f"'{pool.service}' cannot serve this before its deadline",
             )
-        return Ok(Assignment(random.choice(servers), version))
+        return await self._wait(pool, demand, limit_at, now)
 
     def release(self, assignment, result, latency_s, now):
         """Give a slot back and learn from the attempt.
@@ -80,3 +126,258 @@
         now : float
             Monotonic time in seconds.
         """
+        server = assignment.server
+        if assignment.remote:
+            purse = self._spill.purse
+            purse.give_back(server.service, server.server_id)
+            if result in (AttemptResult.NOT_SENT, AttemptResult.UNANSWERED):
+                purse.drop(server.service, server.server_id)
+            return
+        self._slots.give_back(server, assignment.version, result, now)
+        pool = self._pools.get((server.service, assignment.version))
+        if pool is None:
+            return
+        pool.in_flight = max(0, pool.in_flight - 1)
+        if result in (AttemptResult.OK, AttemptResult.ERROR):
+            pool.note_latency(latency_s)
+        self._pump(pool, now)
+
+    def own_load(self, now):
+        """Return what the other VMs of the data centre should know.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic time in seconds.
+
+        Returns
+        -------
+        OwnLoad
+            Requests in flight, free slots and requests that wait.
+        """
+        queued = sum(len(pool.queue) for pool in self._pools.values())
+        free = 0
+        wanted = set()
+        for pool in self._pools.values():
+            place = (pool.service, pool.version)
+            slots, in_flight = self._slots.headroom(*place, now)
+            free += max(0, slots - in_flight)
+            if len(pool.queue):
+                servers = self._directory.servers(*place, now)
+                wanted.update(server.server_id for server in servers)
+        return OwnLoad(self._slots.in_flight, frozenset(wanted), free, queued)
+
+    def grant_credit(self, request, now):
+        """Grant credit for requests from another data centre.
+
+        Parameters
+        ----------
+        request : CreditRequest
+            Of an entry VM there.
+        now : float
+            Monotonic time in seconds.
+
+        Returns
+        -------
+        CreditResponse
+            What is granted.
+        """
+        service = self._copy.state.services.get(request.service)
+        if service is None:
+            return CreditResponse(
+                failure=fail(
+                    ErrorKind.NOT_FOUND, f"no service '{request.service}'"
+                ).err_value
+            )
+        place = (service.name, service.version)
+        slots, in_flight = self._slots.headroom(*place, now)
+        pool = self._pools.get(place)
+        queued = len(pool.queue) if pool else 0
+        return self._spill.grant(
+            request,
+            slots,
+            in_flight + queued,
+            self._slots.vms(now),
+            pool.latency_s if pool else None,
+            now,
+        )
+
+    def _pool(self, demand, now):
+        """Return the pool that serves a request.
+
+        A version without any server gives way to the version in force,
+        never the other way round: that would exceed the part of a move.
+        """
+        service = demand.route.service
+        version = choose_version(self._copy.state, service, demand.point)
+        in_force = self._copy.state.services[service].version
+        if version != in_force and not self._directory.servers(
+            service, version, now
+        ):
+            version = in_force
+        place = (service, version)
+        if place not in self._pools:
+            limit = self._settings.entry.queue_limit
+            self._pools[place] = Pool(service, version, limit)
+        pool = self._pools[place]
+        pool.used_at = now
+        return pool
+
+    def _send_away(self, pool, demand, now):
+        """Send the preset's part of new work to other regions, on credit."""
+        if demand.local_only:
+            return None
+        weights = self._spill.weights()
+        away = 1 - weights.get(self._settings.vm.region, 0.0)
+        if self._generator.random() >= away:
+            return None
+        pool.wants_away = away
+        others = set(weights) - {self._settings.vm.region}
+        return self._take_credit(pool, demand, now, others)
+
+    def _take_credit(self, pool, demand, now, regions=None):
+        taken = self._spill.purse.take(
+            pool.service, demand.excluded, now, regions
+        )
+        if taken is None:
+            return None
+        vm, credit_id = taken
+        server = BackendServer(
+            server_id=vm.name,
+            service=pool.service,
+            version=pool.version,
+            address=vm.caller_address,
+        )
+        return Assignment(server, pool.version, True, credit_id)
+
+    def _assign(self, pool, demand, candidates, now):
+        """Return a local slot, or else one on credit, or None."""
+        chosen = choose_server(candidates, demand.excluded, self._generator)
+        if chosen is not None:
+            server = chosen.view.server
+            self._slots.take(server.server_id)
+            pool.in_flight += 1
+            return Assignment(server, pool.version)
+        if demand.local_only:
+            return None
+        return self._take_credit(pool, demand, now)
+
+    def _candidates(self, pool, now):
+        return self._slots.candidates(pool.service, pool.version, now)
+
+    def _views(self, pool, excluded, now):
+        return [
+            server
+            for server in self._directory.servers(
+                pool.service, pool.version, now
+            )
+            if server.server_id not in excluded
+        ]
+
+    async def _wait(self, pool, demand, limit_at, now):
+        future = asyncio.get_running_loop().create_future()
+        waiting = Waiting(demand, future)
+        ticket, evicted = pool.queue.push(
+            waiting, demand.route.priority, demand.account
+        )
+        if evicted is not None and not evicted.item.future.done():
+            evicted.item.future.set_result(_overloaded(pool))
+        if ticket is None:
+            return _overloaded(pool)
+        self._seek_credit(pool, now)
+        try:
+            async with asyncio.timeout(max(0.0, limit_at - now)):
+                return await future
+        except TimeoutError:
+            if _has_result(future):
+                return future.result()
+            if limit_at < demand.deadline_at:
+                return _no_backend(pool)
+            return fail(
+                ErrorKind.DEADLINE_EXCEEDED,
+                f"no free slot of '{pool.service}' before the deadline",
+            )
+        except asyncio.CancelledError:
+            # The slot came as the caller went away.
+            if _has_result(future) and future.result().is_ok():
+                self.release(
+                    future.result().ok_value,
+                    AttemptResult.CANCELLED,
+                    0.0,
+                    time.monotonic(),
+                )
+            raise
+        finally:
+            pool.queue.discard(ticket)
+            self._pump(pool, time.monotonic())
+
+    def _pump_all(self):
+        now = time.monotonic()
+        for pool in list(self._pools.values()):
+            self._pump(pool, now)
+
+    def _pump(self, pool, now):
+        """Serve waiting requests while there are slots for them."""
+        while len(pool.queue):
+            candidates = self._candidates(pool, now)
+            if not any(one.free > 0 for one in candidates) and not (
+                self._spill.purse.free(pool.service, now)
+            ):
+                return
+            found = []
+
+            def can_take(waiting, candidates=candidates, found=found):
+                if waiting.future.done():
+                    return False
+                found.append(
+                    self._assign(pool, waiting.demand, candidates, now)
+                )
+                return found[-1] is not None
+
+            ticket = pool.queue.pop(can_take)
+            if ticket is None:
+                return
+            ticket.item.future.set_result(Ok(found[-1]))
+
+    def _seek_credit(self, pool, now):
+        """Ask for credit if requests wait or the preset sends some away."""
+        wanted = len(pool.queue)
+        if pool.wants_away:
+            wanted += math.ceil(pool.in_flight * pool.wants_away) + 1
+        wanted += self._spill.purse.in_flight(pool.service)
+        is_asking = pool.service in self._asking
+        if not wanted or is_asking or not self._spill.has_others():
+            return
+        task = asyncio.create_task(self._spill.ask(pool.service, wanted, now))
+        self._asking[pool.service] = task
+        task.add_done_callback(lambda task: self._asked(pool, task))
+
+    def _asked(self, pool, task):
+        self._asking.pop(pool.service, None)
+        if not task.cancelled() and task.exception() is not None:
+            _LOG.error("steering: asking failed: %r", task.exception())
+        else:
+            self._pump(pool, time.monotonic())
+
+    def _forget(self, now):
+        self._spill.purse.forget(now)
+        self._slots.forget()
+        for place, pool in list(self._pools.items()):
+            pool.wants_away *= 0.9
+            if pool.wants_away < 0.001:
+                pool.wants_away = 0.0
+            unused_s = now - pool.used_at
+            if unused_s > _UNUSED_POOL_S and not pool.in_flight:
+                del self._pools[place]
+
+
+def _has_result(future):
+    return future.done() and not future.cancelled()
+
+
+def _no_backend(pool):
+    return fail(ErrorKind.NO_BACKEND, f"no backend server of '{pool.service}'")
+
+
+def _overloaded(pool):
+    return fail(ErrorKind.OVERLOADED, f"the queue of '{pool.service}' is full")
--- /dev/null
+++ b/medlarhollow/steering/spill.py
@@ -0,0 +1,198 @@
+"""Credit between data centres: ask for it, hold it and grant it."""
+
+import asyncio
+import logging
+import math
+import time
+
+from grpclib.exceptions import GRPCError
+from grpclib.exceptions import StreamTerminatedError
+
+from ..membership.weights import region_weights
+from ..messages.records import CreditRequest
+from ..messages.records import CreditResponse
+from ..messages.records import ErrorKind
+from ..messages.records import Failure
+from ..messages.records import VmState
+from ..messages.services import FleetStub
+from ..transport import call
+from .credit import CreditLedger
+from .credit import CreditPurse
+from .credit import link_slots
+
+__all__ = ["Spill"]
+
+_LOG = logging.getLogger(__name__)
+# Several round trips between regions (40 ms each), one of them to connect.
+_CALL_TIMEOUT_S = 0.5
+# VMs asked in one round, and the time between rounds for one service.
+_ROUND_VMS = 3
+_ROUND_S = 0.25
+# Mean latency assumed for the link budget while nothing was measured.
+_DEFAULT_LATENCY_S = 0.1
+
+
+class Spill:
+    """Hold and grant credit for requests over local capacity.
+
+    Parameters
+    ----------
+    settings : Settings
+        Sections ``vm`` and ``spill`` are read.
+    copy : FleetCopy
+        Names the VMs, the links and the active preset.
+    channels : Channels
+        Connections to VMs of other data centres.
+    """
+
+    def __init__(self, settings, copy, channels):
+        self._settings = settings
+        self._copy = copy
+        self._channels = channels
+        self._ledger = CreditLedger(settings)
+        self._purse = CreditPurse()
+        self._asked_at = {}
+        self._turn = 0
+
+    @property
+    def purse(self):
+        """CreditPurse : credit held at other VMs."""
+        return self._purse
+
+    def weights(self):
+        """Return the parts of new work by region, as the preset says."""
+        return region_weights(self._copy.state, self._settings.vm.region)
+
+    def has_others(self):
+        """Tell whether any other data centre has an entry VM."""
+        return bool(self._targets())
+
+    async def ask(self, service, wanted, now):
+        """Ask VMs of other data centres for credit.
+
+        Parameters
+        ----------
+        service : str
+            Name of the service.
+        wanted : int
+            Slots needed, those in use included.
+        now : float
+            Monotonic time in seconds.
+
+        Returns
+        -------
+        bool
+            Whether any was granted. VMs are asked in the order of the
+            preset's weights, own region first among equals; within a data
+            centre they take turns.
+        """
+        if now - self._asked_at.get(service, -math.inf) < _ROUND_S:
+            return False
+        self._asked_at[service] = now
+        self._turn += 1
+        asked = [
+            vm
+            for vm in self._targets()
+            if self._purse.needs_renewal(service, vm.name, wanted, now)
+        ][:_ROUND_VMS]
+        granted = await asyncio.gather(
+            *(self._ask_one(service, wanted, vm) for vm in asked)
+        )
+        return any(granted)
+
+    def grant(self, request, slots, in_flight, vms, latency_s, now):
+        """Grant credit from measured headroom.
+
+        Parameters
+        ----------
+        request : CreditRequest
+            Of a VM in another data centre.
+        slots, in_flight : int
+            Of all servers of the service in this data centre.
+        vms : int
+            Live VMs of this data centre, which share the headroom.
+        latency_s : float or None
+            Mean time for which a request holds its slot.
+        now : float
+            Monotonic time in seconds.
+
+        Returns
+        -------
+        CreditResponse
+            What is granted.
+        """
+        state = self._copy.state
+        own = self._settings.vm
+        asking = state.vms.get(request.vm)
+        if asking is None or asking.data_centre == own.data_centre:
+            failure = Failure(
+                kind=ErrorKind.FORBIDDEN,
+                detail=f"'{request.vm}' is not a VM of another data centre",
+            )
+            return CreditResponse(failure=failure)
+        reserve = 0.0
+        if state.shift is not None and state.shift.preset in state.presets:
+            reserve = state.presets[state.shift.preset].reserve
+        headroom = (slots * (1 - reserve) - in_flight) / max(1, vms)
+        limit = None
+        if asking.region != own.region:
+            limit = self._link_limit(
+                asking.region, latency_s, request.bytes_per_request
+            )
+        return self._ledger.grant(request, headroom, limit, now)
+
+    def _link_limit(self, region, latency_s, bytes_per_request):
+        state = self._copy.state
+        own = self._settings.vm.region
+        limits = [
+            state.links[pair].mbit_per_s
+            if pair in state.links
+            else self._settings.spill.link_mbit_per_s
+            for pair in ((region, own), (own, region))
+        ]
+        vms = sum(vm.region == own for vm in self._entry_vms())
+        latency_s = latency_s or _DEFAULT_LATENCY_S
+        return link_slots(min(limits), vms, latency_s, bytes_per_request)
+
+    def _entry_vms(self):
+        return [
+            vm
+            for vm in self._copy.state.vms.values()
+            if vm.state is VmState.SERVING and vm.caller_address
+        ]
+
+    def _targets(self):
+        """Return one VM of each other data centre, best first."""
+        own = self._settings.vm
+        weights = self.weights()
+        data_centres = {}
+        for vm in sorted(self._entry_vms(), key=lambda vm: vm.name):
+            if vm.data_centre != own.data_centre:
+                data_centres.setdefault(vm.data_centre, []).append(vm)
+        chosen = [vms[self._turn % len(vms)] for vms in data_centres.values()]
+        return sorted(
+            chosen,
+            key=lambda vm: (
+                vm.region != own.region and vm.region not in weights,
+                -weights.get(vm.region, 0.0),
+                vm.region != own.region,
+                vm.data_centre,
+            ),
+        )
+
+    async def _ask_one(self, service, wanted, vm):
+        requested_at = time.monotonic()
+        stub = FleetStub(self._channels.get(vm.peer_address))
+        request = CreditRequest(
+            service=service,
+            slots=wanted,
+            vm=self._settings.vm.name,
+            region=self._settings.vm.region,
+        )
+        try:
+            response = await call(stub.AcquireCredit, request, _CALL_TIMEOUT_S)
+        except (GRPCError, StreamTerminatedError, OSError) as error:
+            _LOG.info("steering: no credit from %s: %s", vm.name, error)
+            return False
+        self._purse.put(service, vm, response, requested_at)
+        return response.slots > 0
--- /dev/null
+++ b/medlarhollow/steering/tests/test_queue.py
@@ -0,0 +1,152 @@
+"""Order of the queue, against a naive model."""
+
+import collections
+
+import hypothesis
+from hypothesis import strategies as st
+import pytest
+
+from medlarhollow.messages.records import Priority
+from medlarhollow.steering.queue import FairQueue
+
+URGENT, ORDINARY, PATIENT = (
+    Priority.URGENT,
+    Priority.ORDINARY,
+    Priority.PATIENT,
+)
+
+
+def fill(queue, priority, account, count):
+    for number in range(count):
+        queue.push((account, number), priority, account)
+
+
+def drain(queue, count=None):
+    found = []
+    while len(queue) and len(found) != count:
+        found.append(queue.pop(lambda item: True).item)
+    return found
+
+
+class NaiveQueue:
+    """One list; the next one is found by looking at everything."""
+
+    def __init__(self):
+        self.waiting = []
+        self.virtual_time = 0.0
+        self.finish = {}
+
+    def push(self, item, account):
+        start = max(self.virtual_time, self.finish.get(account, 0.0))
+        self.finish[account] = start + 1.0
+        self.waiting.append((start, account, item))
+
+    def pop(self):
+        best = min(self.waiting, key=lambda one: one[:2])
+        self.waiting.remove(best)
+        self.virtual_time = best[0]
+        if not self.waiting:
+            self.finish.clear()
+            self.virtual_time = 0.0
+        return best[2]
+
+
+@hypothesis.given(
+    st.lists(st.one_of(st.none(), st.sampled_from("abc")), max_size=80)
+)
+def test_one_priority_is_served_like_the_naive_model(steps):
+    """Guards start-time fair queueing; None stands for a pop."""
+    queue = FairQueue(1000)
+    naive = NaiveQueue()
+    for number, account in enumerate(steps):
+        if account is not None:
+            queue.push(number, ORDINARY, account)
+            naive.push(number, account)
+        elif naive.waiting:
+            assert queue.pop(lambda item: True).item == naive.pop()
+    while naive.waiting:
+        assert queue.pop(lambda item: True).item == naive.pop()
+    assert len(queue) == 0
+
+
+def test_a_flood_of_one_account_does_not_delay_the_others():
+    """Guards the worst-served account against one that sends too much."""
+    queue = FairQueue(1000)
+    fill(queue, ORDINARY, "flood", 500)
+    fill(queue, ORDINARY, "crew", 5)
+    first = collections.Counter(account for account, _ in drain(queue, 10))
+    assert first == {"flood": 5, "crew": 5}
+
+
+def test_requests_of_an_account_stay_in_order():
+    """Guards against later requests that overtake earlier ones."""
+    queue = FairQueue(1000)
+    fill(queue, ORDINARY, "crew", 20)
+    assert drain(queue) == [("crew", number) for number in range(20)]
+
+
+def test_urgent_work_goes_first_and_patient_work_does_not_starve():
+    """Guards both ends of the order: one in ten is of a lower priority."""
+    queue = FairQueue(1000)
+    fill(queue, PATIENT, "survey", 10)
+    fill(queue, ORDINARY, "crew", 100)
+    fill(queue, URGENT, "clerk", 100)
+    first = collections.Counter(account for account, _ in drain(queue, 50))
+    assert first["clerk"] >= 40
+    assert first["crew"] >= 4
+    assert first["survey"] >= 4
+
+
+def test_a_blocked_request_does_not_block_other_accounts():
+    """Guards against a retry that excludes the only free server."""
+    queue = FairQueue(1000)
+    fill(queue, ORDINARY, "a", 2)
+    fill(queue, ORDINARY, "b", 1)
+    found = queue.pop(lambda item: item[0] != "a")
+    assert found.item == ("b", 0)
+    assert queue.pop(lambda item: False) is None
+    assert drain(queue) == [("a", 0), ("a", 1)]
+
+
+@pytest.mark.parametrize(
+    ("priority", "account", "victim"),
+    [
+        (URGENT, "crew", ("survey", 1)),
+        (ORDINARY, "crew", ("survey", 1)),
+        (PATIENT, "crew", ("survey", 1)),
+        (PATIENT, "survey", None),
+    ],
+)
+def test_a_full_queue_gives_up_the_least_important(priority, account, victim):
+    """Guards urgent requests against a queue full of patient ones."""
+    queue = FairQueue(4)
+    fill(queue, ORDINARY, "flood", 2)
+    fill(queue, PATIENT, "survey", 2)
+    ticket, evicted = queue.push("new", priority, account)
+    assert (evicted.item if evicted else None) == victim
+    assert (ticket is None) is (victim is None)
+    assert len(queue) == 4
+
+
+def test_a_full_queue_gives_up_requests_of_the_longest_line():
+    """Guards accounts with few requests against one that fills the queue."""
+    queue = FairQueue(6)
+    fill(queue, ORDINARY, "flood", 6)
+    for _ in range(3):
+        ticket, evicted = queue.push("new", ORDINARY, "crew")
+        assert ticket is not None
+        assert evicted.account == "flood"
+    assert queue.push("new", ORDINARY, "flood") == (None, None)
+
+
+def test_requests_that_left_are_not_counted():
+    """Guards the estimate of the wait and the bound."""
+    queue = FairQueue(10)
+    ticket, _ = queue.push("x", ORDINARY, "crew")
+    fill(queue, ORDINARY, "flood", 5)
+    assert queue.ahead(ORDINARY, "crew") == 3
+    assert queue.ahead(PATIENT, "crew") == 6
+    queue.discard(ticket)
+    queue.discard(ticket)
+    assert len(queue) == 5
+    assert queue.ahead(ORDINARY, "crew") == 1
