Test ejection, cancellation and lapsed credit more sharply

Cause: three mechanisms could be removed without a failing test.

Change: the tests count ejections, cancel a request right before a slot is released, and leave lapsed credit free.

Conclusion: each mechanism of steering has a test that needs it.

--- a/medlarhollow/steering/tests/test_choice.py
+++ b/medlarhollow/steering/tests/test_choice.py
@@ -135,8 +135,8 @@
     """Guards against a fault of all servers that would leave none."""
     detector = OutlierDetector(make_settings("a"))
     views = make_pool(size)
-    for view in views:
-        fail_times(detector, view, views, 50)
+    ejected = sum(any(fail_times(detector, view, views, 50)) for view in views)
+    assert ejected == size // 2
     assert len(detector.usable(views, NOW)) == size - size // 2
     smaller = views[: max(1, size // 2)]
     assert len(detector.usable(smaller, NOW)) * 2 >= len(smaller)
--- a/medlarhollow/steering/tests/test_dispatcher.py
+++ b/medlarhollow/steering/tests/test_dispatcher.py
@@ -195,7 +195,7 @@
     assert (await waiting).is_ok()
 
 
-@pytest.mark.parametrize("moment", ["waiting", "granted"])
+@pytest.mark.parametrize("moment", ["waiting", "leaving", "granted"])
 async def test_a_cancelled_request_keeps_no_slot(sites, moment):
     """Guards slots against callers that go away, also in the moment in
     which the slot is given."""
@@ -207,6 +207,9 @@
     if moment == "granted":
         near.release(first)
         waiting.cancel()
+    elif moment == "leaving":
+        waiting.cancel()
+        near.release(first)
     else:
         waiting.cancel()
         await asyncio.sleep(0.01)
@@ -360,7 +363,9 @@
     near.announce("a", slots=1)
     far.announce("z", slots=5)
     await near.acquire()
-    assert (await near.acquire(1.0)).ok_value.remote
+    remote = (await near.acquire(1.0)).ok_value
+    assert remote.remote
+    near.release(remote)
     far.service.silent = True
     await asyncio.sleep(2.1)
     near.announce("a", slots=1)
