--- a/medlarhollow/daemon/process.py
+++ b/medlarhollow/daemon/process.py
@@ -26,6 +26,7 @@
 from ..limits import Limiter
 from ..limits import ShareAllocator
 from ..membership import Directory
+from ..membership import Exchange
 from ..messages.records import MoveState
 from ..messages.records import SyncRequest
 from ..messages.records import Vm
@@ -102,6 +103,14 @@
             self._channels,
             self._samples,
         )
+        self._exchange = Exchange(
+            settings,
+            self._copy,
+            self._directory,
+            self._channels,
+            self._own_vm,
+            self._dispatcher.own_load,
+        )
         self._replica = None
         if "control" in settings.vm.roles:
             self._replica = Replica(settings, self._channels)
@@ -154,7 +163,12 @@
 
     def _services(self):
         fleet = FleetService(
-            self._settings, self._source, self._reports, self._allocator
+            self._settings,
+            self._source,
+            self._reports,
+            self._allocator,
+            self._exchange,
+            self._dispatcher,
         )
         if self._replica is None:
             return [fleet]
@@ -175,6 +189,7 @@
         )
         if "entry" in self._settings.vm.roles:
             yield self._limiter.run()
+            yield self._exchange.run()
             yield self._dispatcher.run()
             yield self._report_samples()
         if self._replica is not None:
