--- a/medlarhollow/membership/exchange.py
+++ b/medlarhollow/membership/exchange.py
@@ -114,7 +114,7 @@
         try:
             await self._converse(stream, served=True)
         except (StreamTerminatedError, OSError) as error:
-            _LOG.info("exchange: a stream ended: %s", error or "silent")
+            _LOG.info("membership: a stream ended: %s", error or "silent")
 
     def _addresses(self):
         own = self._settings
@@ -141,7 +141,7 @@
                     await self._connect(address)
                 except (GRPCError, StreamTerminatedError, OSError) as error:
                     _LOG.info(
-                        "exchange: %s failed: %s", address, error or "silent"
+                        "membership: %s failed: %s", address, error or "silent"
                     )
                     self._channels.drop(address)
             await asyncio.sleep(_RETRY_S)
