Keep a control process alive when its replica is elected before a request

Cause: cancelling a Sync stream on which nothing was sent raises in grpclib. A replica elected between opening the stream and the first request ended its process.

Change: the stream is only cancelled after a request. The fake stream raises as grpclib does.

Conclusion: an election at any moment leaves the process running.

--- a/medlarhollow/agreement/tests/fakes.py
+++ b/medlarhollow/agreement/tests/fakes.py
@@ -7,6 +7,7 @@
 
 from grpclib.const import Status
 from grpclib.exceptions import GRPCError
+from grpclib.exceptions import ProtocolError
 
 from medlarhollow.agreement import RaftService
 from medlarhollow.agreement import Replica
@@ -100,6 +101,7 @@
         self._requests = asyncio.Queue()
         self._replies = asyncio.Queue()
         self._task = None
+        self._sent = False
 
     async def __aenter__(self):
         handler = self._network.find(self._target, self._name)
@@ -113,6 +115,7 @@
             await self._task
 
     async def send_message(self, message, end=False):
+        self._sent = True
         if (self._source, self._target) not in self._network.cuts:
             self._requests.put_nowait(encode(message))
 
@@ -123,6 +126,9 @@
         return None if reply is _CLOSED else decode(self._reply_type, reply)
 
     async def cancel(self):
+        # As grpclib's stream does.
+        if not self._sent:
+            raise ProtocolError("Request was not sent yet")
         self._task.cancel()
 
     def reply(self, message):
--- a/medlarhollow/distribution/follow.py
+++ b/medlarhollow/distribution/follow.py
@@ -132,7 +132,8 @@
                         _LOG.info("sync: follows %s", address)
                     usable = True
                     vm.failures.pop(address, None)
-                await stream.cancel()
+                if sequence:
+                    await stream.cancel()
     except (GRPCError, StreamTerminatedError, OSError) as error:
         _fail(vm, address, error)
     except TimeoutError:
--- a/medlarhollow/distribution/tests/test_follow.py
+++ b/medlarhollow/distribution/tests/test_follow.py
@@ -47,9 +47,11 @@
         self.reports = reports
         self.settings = settings
         self.streams = 0
+        self.opened = 0
 
     async def Sync(self, stream):  # noqa: N802
         self.streams += 1
+        self.opened += 1
         try:
             await serve_sync(stream, self.source, self.reports, self.settings)
         finally:
@@ -92,7 +94,7 @@
 class FollowingVm(SyncServer):
     """A VM that follows and serves its copy."""
 
-    def __init__(self, network, name, address):
+    def __init__(self, network, name, address, replica=None):
         settings = make_settings(name, address)
         super().__init__(FleetCopy(settings), Reports(), settings)
         self.vm = Vm(
@@ -108,6 +110,7 @@
                 self.reports,
                 lambda now: VmReport(vm=self.vm),
                 settings,
+                replica,
             )
         )
 
@@ -137,9 +140,9 @@
             self.network.serve(address, [control])
         self.vms = []
 
-    def add(self, name):
+    def add(self, name, replica=None):
         address = f"127.0.0.1:{100 + len(self.vms)}"
-        vm = FollowingVm(self.network, name, address)
+        vm = FollowingVm(self.network, name, address, replica)
         self.network.serve(address, [vm])
         self.vms.append(vm)
         return vm
@@ -221,6 +224,7 @@
     while time.monotonic() < began + 2.0:
         await asyncio.sleep(0.01)
         assert vm.source.freshness_age_s(time.monotonic()) < 0.9
+    assert fleet.controls[1].opened == 1
 
 
 async def test_age_is_never_younger_than_the_proof(fleet):
@@ -261,6 +265,37 @@
     await fleet.reached(*vms[1:])
 
 
+class ElectedReplica:
+    """Leads from a given question after its role on."""
+
+    def __init__(self, control, elected_at):
+        self._control = control
+        self._left = elected_at
+        self.leader_address = ""
+
+    @property
+    def is_leader(self):
+        self._left -= 1
+        return self._left < 0
+
+    def __getattr__(self, name):
+        return getattr(self._control.source, name)
+
+
+@pytest.mark.parametrize("elected_at", range(6))
+async def test_vm_whose_replica_is_elected_leaves_its_upstream(
+    fleet, elected_at
+):
+    """Guards against a control process that ends because its replica was
+    elected at a bad moment, for example before its first Sync request."""
+    own = Control(CONTROLS[1])
+    await own.commit(put_account("x"))
+    vm = fleet.add("a", ElectedReplica(own, elected_at))
+    await eventually(lambda: vm.task.done() or vm.source.state.revision == 1)
+    assert not vm.task.done()
+    await eventually(lambda: fleet.controls[0].streams == 0)
+
+
 async def test_wrong_cluster_is_refused(fleet):
     """Guards against a VM that mixes the states of two fleets."""
     control = fleet.controls[0]
