--- a/medlarhollow/daemon/process.py
+++ b/medlarhollow/daemon/process.py
@@ -6,38 +6,44 @@
 import time
 import uuid
 
-import aiohttp
-import attrs
-
+from ..admin import FleetAdmin
 from ..admin import make_admin_app
 from ..admin.operators import Operators
 from ..agreement import RaftService
 from ..agreement import Replica
 from ..control import ControlClient
 from ..control import ControlService
-from ..control.roster import plan_roster
+from ..control.duties import Duties
+from ..control.duties import DUTY_S
 from ..distribution import FleetCopy
 from ..distribution import follow
 from ..distribution import Reports
+from ..entry import BackendClient
+from ..entry import Drain
 from ..entry import EntryVm
 from ..entry import make_announce_app
 from ..entry import make_caller_app
 from ..limits import Limiter
+from ..limits import ShareAllocator
 from ..membership import Directory
+from ..messages.records import MoveState
+from ..messages.records import SyncRequest
 from ..messages.records import Vm
 from ..messages.records import VmReport
 from ..messages.records import VmState
-from ..moves import SampleCounter
+from ..moves import VersionSelector
 from ..steering import Dispatcher
+from ..telemetry import Telemetry
 from ..transport import Channels
 from ..transport import PeerServer
+from ..transport.secret import read_secret
 from .fleet_service import FleetService
 from .http import HttpServer
 
 __all__ = ["run_process"]
 
 _LOG = logging.getLogger(__name__)
-_ROSTER_S = 0.5
+EXIT_CUT = 3
 
 
 async def run_process(settings):
@@ -68,17 +74,34 @@
     def __init__(self, settings):
         self._settings = settings
         self._stop = asyncio.Event()
-        self._channels = Channels(settings)
+        self._closing = asyncio.Event()
+        self._drain = Drain()
+        self._drain_until = 0.0
+        self._telemetry = Telemetry(settings)
+        self._channels = Channels(settings, self._telemetry)
         self._reports = Reports()
         self._copy = FleetCopy(settings)
         self._state = VmState.SERVING
         self._incarnation = uuid.uuid4().hex
         self._directory = Directory(settings)
-        self._limiter = Limiter(settings, self._copy, self._channels)
+        self._allocator = ShareAllocator(
+            settings, self._copy, self._incarnation
+        )
+        self._limiter = Limiter(
+            settings,
+            self._copy,
+            self._channels,
+            self._allocator,
+            self._incarnation,
+        )
+        self._samples = VersionSelector(settings, self._copy)
         self._dispatcher = Dispatcher(
-            settings, self._copy, self._directory, self._channels
+            settings,
+            self._copy,
+            self._directory,
+            self._channels,
+            self._samples,
         )
-        self._samples = SampleCounter(settings)
         self._replica = None
         if "control" in settings.vm.roles:
             self._replica = Replica(settings, self._channels)
@@ -89,30 +112,50 @@
         Returns
         -------
         int
-            Exit code.
+            0 after a graceful stop, 3 if a request was cut.
         """
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self._stop.set)
-        peers = PeerServer(self._settings, self._services())
+        peers = PeerServer(self._settings, self._services(), self._telemetry)
+        self._observe()
         if self._replica is not None:
             await self._replica.start()
         await peers.start()
         _LOG.info("daemon: started")
         async with asyncio.TaskGroup() as group:
             background = [group.create_task(task) for task in self._tasks()]
-            await self._serve_front_doors()
+            cut = await self._serve_front_doors()
             for task in background:
                 task.cancel()
         await peers.stop()
         if self._replica is not None:
             await self._replica.stop()
         self._channels.close()
-        _LOG.info("daemon: stopped")
-        return 0
+        await asyncio.to_thread(self._telemetry.stop)
+        _LOG.info("daemon: stopped, %d requests cut", cut)
+        return EXIT_CUT if cut else 0
+
+    def _observe(self):
+        """Let metrics read what this process knows."""
+        copy = self._copy
+        self._telemetry.observe("revision", lambda: copy.state.revision)
+        self._telemetry.observe(
+            "freshness_age", lambda: copy.freshness_age_s(time.monotonic())
+        )
+        self._telemetry.observe(
+            "move_fraction",
+            lambda: {
+                move.service: move.fraction
+                for move in tuple(copy.state.moves.values())
+                if move.state is MoveState.IN_PROGRESS
+            },
+        )
 
     def _services(self):
-        fleet = FleetService(self._settings, self._source, self._reports)
+        fleet = FleetService(
+            self._settings, self._source, self._reports, self._allocator
+        )
         if self._replica is None:
             return [fleet]
         return [
@@ -133,8 +176,10 @@
         if "entry" in self._settings.vm.roles:
             yield self._limiter.run()
             yield self._dispatcher.run()
+            yield self._report_samples()
         if self._replica is not None:
-            yield self._keep_roster()
+            duties = Duties(self._settings, self._replica, self._reports)
+            yield duties.run()
 
     def _source(self):
         if self._replica is not None and self._replica.is_leader:
@@ -146,6 +191,7 @@
             vm=self._own_vm(),
             revision=self._copy.state.revision,
             freshness_age_s=self._copy.freshness_age_s(now),
+            share_epoch=self._allocator.share_epoch(now),
         )
 
     def _own_vm(self):
@@ -155,37 +201,58 @@
             incarnation=self._incarnation,
             region=own.vm.region,
             data_centre=own.vm.data_centre,
-            caller_address=own.entry.advertise or own.entry.listen,
+            caller_address=self._caller_address(),
             peer_address=own.peer.advertise or own.peer.listen,
             state=self._state,
         )
 
-    async def _keep_roster(self):
-        """Bring the roster up to date while this replica leads."""
+    def _caller_address(self):
+        own = self._settings
+        if "entry" not in own.vm.roles:
+            return ""
+        return own.entry.advertise or own.entry.listen
+
+    async def _report_samples(self):
+        """Pass on what this VM measured; Sync requests carry it away."""
         while True:
-            await asyncio.sleep(_ROSTER_S)
-            if not self._replica.is_leader:
-                continue
-            alive = self._reports.vms(
-                time.monotonic(), self._settings.control.vm_lease_s
+            await asyncio.sleep(DUTY_S)
+            now = time.monotonic()
+            self._reports.add(
+                SyncRequest(
+                    versions=self._samples.take(),
+                    demands=self._limiter.demands(now),
+                ),
+                now,
             )
-            for change in plan_roster(self._replica.state, alive):
-                named = attrs.evolve(change, request_id=uuid.uuid4().hex)
-                await self._replica.propose(named)
 
     async def _serve_front_doors(self):
-        timeout = aiohttp.ClientTimeout(
-            total=None,
-            sock_connect=self._settings.backends.connect_timeout_s,
-        )
-        connector = aiohttp.TCPConnector(limit=0)
-        async with aiohttp.ClientSession(
-            timeout=timeout, connector=connector, auto_decompress=False
-        ) as client:
+        """Serve until the stop; return the number of requests cut."""
+        async with BackendClient(self._settings) as client:
             servers = list(self._front_doors(client))
             await asyncio.gather(
-                *(server.serve_until(self._stop) for server in servers)
+                self._announce_stop(),
+                *(server.serve_until(self._closing) for server in servers),
             )
+            # Completions of claims follow the last answers.
+            left = await self._drain.wait(self._drain_until - time.monotonic())
+        return left + sum(server.cut for server in servers)
+
+    async def _announce_stop(self):
+        """Leave the look-ups at a signal, and close some time later.
+
+        Further signals change nothing: they must not cut a request.
+        """
+        await self._stop.wait()
+        _LOG.info("daemon: draining")
+        self._state = VmState.DRAINING
+        self._drain.begin()
+        if "entry" in self._settings.vm.roles:
+            await asyncio.sleep(self._settings.entry.drain_notice_s)
+        self._drain.close()
+        self._drain_until = (
+            time.monotonic() + self._settings.entry.drain_limit_s
+        )
+        self._closing.set()
 
     def _entry_vm(self, client):
         own = self._settings
@@ -198,17 +265,21 @@
             samples=self._samples,
             control=ControlClient(own, self._channels),
             client=client,
+            secret=read_secret(own.peer),
+            drain=self._drain,
         )
 
     def _front_doors(self, client):
         own = self._settings
-        limit_s = own.entry.drain_limit_s
         if "entry" in own.vm.roles:
             vm = self._entry_vm(client)
-            yield HttpServer(make_caller_app(vm), own.entry.listen, limit_s)
+            yield HttpServer(make_caller_app(vm), own.entry.listen, own)
             yield HttpServer(
-                make_announce_app(vm), own.entry.announce_listen, limit_s
+                make_announce_app(vm), own.entry.announce_listen, own
             )
         if self._replica is not None:
-            app = make_admin_app(self._replica, Operators(own))
-            yield HttpServer(app, own.admin.listen, limit_s)
+            admin = FleetAdmin(
+                own, self._replica, self._channels, self._reports
+            )
+            app = make_admin_app(admin, Operators(own))
+            yield HttpServer(app, own.admin.listen, own)
--- a/medlarhollow/messages/records.py
+++ b/medlarhollow/messages/records.py
@@ -15,6 +15,7 @@
     "AppendResponse",
     "Applied",
     "BackendServer",
+    "BatchReport",
     "Change",
     "Claim",
     "ClaimRecord",
@@ -256,6 +257,7 @@
     stepped_at_s: float = 0.0
     state: MoveState = MoveState(0)
     reason: str = ""
+    ended_at_s: float = 0.0
 
 
 @attrs.frozen
@@ -435,7 +437,7 @@
 
 @attrs.frozen
 class PutClientBlocks:
-    """Record of PutClientBlocks."""
+    """Sets the region of each block; an empty region removes the block."""
 
     blocks: "tuple[ClientBlock, ...]" = ()
 
@@ -478,7 +480,7 @@
 
 @attrs.frozen
 class SetShares:
-    """Record of SetShares."""
+    """An empty share that is set empty again is removed."""
 
     shares: "tuple[Share, ...]" = ()
 
@@ -856,8 +858,16 @@
     vm: str = ""
     incarnation: str = ""
     epoch: int = 0
+    batches: "tuple[BatchReport, ...]" = ()
+
+
+@attrs.frozen
+class BatchReport:
+    """What became of an earlier batch."""
+
+    batch_id: int = 0
     spent: float = 0.0
-    returned: float = 0.0
+    closed: bool = False
 
 
 @attrs.frozen
@@ -869,6 +879,8 @@
     wait_s: float = 0.0
     epoch: int = 0
     failure: "Failure | None" = None
+    batch_id: int = 0
+    settle_soon: bool = False
 
 
 @attrs.frozen
