--- a/medlarhollow/control/demand.py
+++ b/medlarhollow/control/demand.py
@@ -10,6 +10,7 @@
 # move no shares.
 _WINDOW_S = 5.0
 _LEAST_PER_S = 1e-3
+_LEAST_SCALE = 1e-6
 
 
 @attrs.frozen
@@ -28,6 +29,9 @@
     unmet_per_s: float = 0.0
 
 
+_NONE = Need()
+
+
 class DemandWatch:
     """Average the demand that data centres report.
 
@@ -42,7 +46,10 @@
     def __init__(self, sample_s, now):
         self._sample_s = sample_s
         self._at = now
-        self._needs = {}
+        # Demand is kept as multiples of a scale that decays, so that a round
+        # costs time for new samples only.
+        self._scale = 1.0
+        self._sums = {}
 
     def update(self, samples, now):
         """Take the samples since the last call.
@@ -54,22 +61,18 @@
         now : float
             Monotonic time in seconds.
         """
-        kept = math.exp((self._at - now) / _WINDOW_S)
-        gained = self._sample_s / _WINDOW_S
+        self._scale *= math.exp((self._at - now) / _WINDOW_S)
         self._at = now
-        for place, need in list(self._needs.items()):
-            self._needs[place] = Need(
-                need.rate_per_s * kept, need.unmet_per_s * kept
-            )
-            if need.rate_per_s * kept < _LEAST_PER_S:
-                del self._needs[place]
+        if self._scale < _LEAST_SCALE:
+            self._rescale()
+        gained = self._sample_s / _WINDOW_S / self._scale
         for sample in samples:
             place = (sample.account, sample.data_centre)
-            need = self._needs.get(place, Need())
-            self._needs[place] = Need(
-                need.rate_per_s + sample.rate_per_s * gained,
-                need.unmet_per_s + sample.unmet_per_s * gained,
-            )
+            sums = self._sums.get(place)
+            if sums is None:
+                sums = self._sums[place] = [0.0, 0.0]
+            sums[0] += sample.rate_per_s * gained
+            sums[1] += sample.unmet_per_s * gained
 
     def need(self, account, data_centre):
         """Return the average demand.
@@ -79,4 +82,15 @@
         Need
             Zero if nothing was reported.
         """
-        return self._needs.get((account, data_centre), Need())
+        sums = self._sums.get((account, data_centre))
+        if sums is None or sums[0] * self._scale < _LEAST_PER_S:
+            return _NONE
+        return Need(sums[0] * self._scale, sums[1] * self._scale)
+
+    def _rescale(self):
+        for place, sums in list(self._sums.items()):
+            sums[0] *= self._scale
+            sums[1] *= self._scale
+            if sums[0] < _LEAST_PER_S:
+                del self._sums[place]
+        self._scale = 1.0
--- a/medlarhollow/control/shares.py
+++ b/medlarhollow/control/shares.py
@@ -47,7 +47,7 @@
     expired. Which of the two is next follows from the state, so a new leader
     continues a transfer.
     """
-    active = sorted({vm.data_centre for vm in state.vms.values()})
+    active = {vm.data_centre for vm in state.vms.values()}
     if not active:
         return None
     changes = []
@@ -107,7 +107,6 @@
     gone = _list_gone(state, shares, active, leases, now)
     if gone:
         return gone
-    target = _find_target(account, shares, active, demand)
     free_rate, free_burst = _count_free(account, shares)
     if (
         free_rate > _ROUNDING * account.rate_per_s
@@ -115,7 +114,11 @@
     ):
         if not _is_settled(state, shares, leases, now):
             return []
+        target = _find_target(account, shares, active, demand)
         return _raise_shares(shares, target, free_rate, free_burst)
+    if _is_at_rest(account, shares, active, demand):
+        return []
+    target = _find_target(account, shares, active, demand)
     if _is_transfer_due(account, shares, target, demand):
         return _lower_shares(shares, target)
     return []
@@ -198,6 +201,23 @@
     return lowered
 
 
+def _is_at_rest(account, shares, active, demand):
+    """Tell without dividing the account that no transfer is due.
+
+    With hundreds of accounts and data centres, dividing all of them in every
+    round took most of the leader's time.
+    """
+    count = min(len(active), int(account.burst))
+    floor = _FLOOR_PART * account.rate_per_s / max(1, count)
+    held = 0
+    for place in active:
+        rate = _rate(shares, place)
+        if _is_short(demand.need(account.name, place), rate):
+            return False
+        held += rate >= floor / 2 > 0 and shares[place].burst >= 1 - _ROUNDING
+    return held >= count
+
+
 def _is_transfer_due(account, shares, target, demand):
     floor = _FLOOR_PART * account.rate_per_s / max(1, len(target))
     if any(
