End a leader's round when it loses its authority

Cause: without a quorum each change of a round would wait for its time-out, and a replica that no longer leads would have passed its plan on to the next leader, which judges by its own measurements.

Change: Duties ends the round at NOT_LEADER and NO_QUORUM and proposes without forwarding.

Conclusion: only the present leader's plan is committed.

--- a/medlarhollow/control/duties.py
+++ b/medlarhollow/control/duties.py
@@ -7,6 +7,7 @@
 
 from ..limits import DEMAND_PERIOD_S
 from ..messages.records import Change
+from ..messages.records import ErrorKind
 from .allocators import plan_allocators
 from .demand import DemandWatch
 from .leases import LeaseWatch
@@ -20,6 +21,7 @@
 _LOG = logging.getLogger(__name__)
 # Time between two rounds.
 DUTY_S = 0.5
+_NO_AUTHORITY = (ErrorKind.NOT_LEADER, ErrorKind.NO_QUORUM)
 # Time in which VMs find a new leader: a silent upstream is left after 2 s.
 _ROSTER_MARGIN_S = 2.0
 
@@ -51,7 +53,8 @@
                 self._round = None
                 continue
             for body in self._plan(time.monotonic(), time.time()):
-                await self._propose(body)
+                if not await self._propose(body):
+                    break
 
     def _plan(self, now, unix_now):
         if self._round is None:
@@ -66,13 +69,18 @@
 
     async def _propose(self, body):
         change = Change(request_id=uuid.uuid4().hex, body=body)
-        result = await self._replica.propose(change)
-        if result.is_err():
-            _LOG.warning(
-                "control: %s was rejected: %s",
-                type(body).__name__,
-                result.err_value.detail,
-            )
+        # A plan of a replica that no longer leads must not be passed on to
+        # the next leader, which has its own measurements.
+        result = await self._replica.propose(change, forwarded=True)
+        if result.is_ok():
+            return True
+        _LOG.warning(
+            "control: %s was rejected: %s",
+            type(body).__name__,
+            result.err_value.detail,
+        )
+        # Without a quorum each further proposal would wait as long as this.
+        return result.err_value.kind not in _NO_AUTHORITY
 
 
 class Round:
--- a/medlarhollow/control/tests/test_duties.py
+++ b/medlarhollow/control/tests/test_duties.py
@@ -4,6 +4,7 @@
 import time
 
 import attrs
+import pytest
 from result import Ok
 
 from medlarhollow.control import duties as duties_module
@@ -11,8 +12,10 @@
 from medlarhollow.control.duties import Round
 from medlarhollow.control.roster import plan_roster
 from medlarhollow.distribution import Reports
+from medlarhollow.errors import fail
 from medlarhollow.messages.records import ActivatePreset
 from medlarhollow.messages.records import DemandSample
+from medlarhollow.messages.records import ErrorKind
 from medlarhollow.messages.records import Preset
 from medlarhollow.messages.records import PutPreset
 from medlarhollow.messages.records import RegionWeight
@@ -77,16 +80,15 @@
     assert [round(part, 6) for part in fractions] == [0.3, 0.6, 0.9, 1.0]
 
 
-def test_a_leader_whose_clock_is_behind_plans_nothing_that_is_rejected():
-    """The clocks of control replicas differ; time in the agreed state must
-    not run backward."""
+def test_a_leader_whose_clock_is_behind_does_not_wait_for_it():
+    """Clocks of replicas differ; a step that is due by the agreed time must
+    not wait until the new leader's clock has caught up."""
     state = make_state("a1")
     away = (RegionWeight("n", "s", 1.0),)
     accept(state, PutPreset(Preset("away", away, 0.3, 2.0)), UNIX)
+    state.shift = attrs.evolve(state.shift, stepped_at_s=UNIX + 55)
     state.time_s = UNIX + 60
-    leader = Round(Settings, 0.0)
-    leader.plan(state, (), (), (), 0.5, UNIX)
-    bodies = leader.plan(state, (), (), (), 1.0, UNIX - 60)
+    bodies = Round(Settings, 0.0).plan(state, (), (), (), 0.5, UNIX)
     assert "StepShift" in [type(body).__name__ for body in bodies]
 
 
@@ -120,9 +122,14 @@
     state: object
     is_leader: bool = True
     proposals: list = attrs.field(factory=list)
+    forwarded: list = attrs.field(factory=list)
+    failure: object = None
 
-    async def propose(self, change):
+    async def propose(self, change, forwarded=False):
+        self.forwarded.append(forwarded)
         self.proposals.append(change)
+        if self.failure is not None:
+            return fail(self.failure, "refused")
         accept(self.state, change.body)
         return Ok(None)
 
@@ -144,4 +151,42 @@
     kinds = [type(change.body).__name__ for change in replica.proposals]
     assert kinds[0] == "SetVm"
     assert all(change.request_id for change in replica.proposals)
+    # A plan must not travel to another leader.
+    assert all(replica.forwarded)
     assert not any(change.author for change in replica.proposals)
+
+
+@pytest.mark.parametrize(
+    ("failure", "proposals"),
+    [
+        (ErrorKind.NO_QUORUM, 1),
+        (ErrorKind.NOT_LEADER, 1),
+        (ErrorKind.CONFLICT, 2),
+    ],
+)
+async def test_a_round_ends_when_authority_is_lost(
+    monkeypatch, failure, proposals
+):
+    """Without a quorum each proposal waits for its time-out, and the rest of
+    the plan is out of date by then. A rejected change stops no other."""
+    monkeypatch.setattr(duties_module, "DUTY_S", 0.01)
+    replica = FakeReplica(make_state(), failure=failure)
+    reports = Reports()
+    now = time.monotonic()
+    reports.add(SyncRequest(reports=(report(vm("a1")), report(vm("b1")))), now)
+    duties = Duties(Settings, replica, reports)
+    planned = list(duties._plan(now, UNIX))
+    assert len(planned) == 2
+    rounds = 0
+
+    def count_rounds(*_):
+        nonlocal rounds
+        rounds += 1
+        if rounds > 1:
+            raise asyncio.CancelledError
+        return planned
+
+    monkeypatch.setattr(duties, "_plan", count_rounds)
+    with pytest.raises(asyncio.CancelledError):
+        await duties.run()
+    assert len(replica.proposals) == proposals
