--- a/medlarhollow/admin/operations.py
+++ b/medlarhollow/admin/operations.py
@@ -160,6 +160,11 @@
     flag = _read_flag(order, "dry_run")
     if flag.is_err():
         return flag
+    if not await admin.catch_up():
+        return fail(
+            ErrorKind.NOT_LEADER,
+            "this replica cannot tell what configuration is in force",
+        )
     state = admin.state
     planned = plan_changes(state, order.body)
     if planned.is_err():
--- a/medlarhollow/daemon/process.py
+++ b/medlarhollow/daemon/process.py
@@ -6,8 +6,6 @@
 import time
 import uuid
 
-import aiohttp
-
 from ..admin import FleetAdmin
 from ..admin import make_admin_app
 from ..admin.operators import Operators
@@ -20,6 +18,8 @@
 from ..distribution import FleetCopy
 from ..distribution import follow
 from ..distribution import Reports
+from ..entry import BackendClient
+from ..entry import Drain
 from ..entry import EntryVm
 from ..entry import make_announce_app
 from ..entry import make_caller_app
@@ -36,12 +36,14 @@
 from ..telemetry import Telemetry
 from ..transport import Channels
 from ..transport import PeerServer
+from ..transport.secret import read_secret
 from .fleet_service import FleetService
 from .http import HttpServer
 
 __all__ = ["run_process"]
 
 _LOG = logging.getLogger(__name__)
+EXIT_CUT = 3
 
 
 async def run_process(settings):
@@ -72,6 +74,9 @@
     def __init__(self, settings):
         self._settings = settings
         self._stop = asyncio.Event()
+        self._closing = asyncio.Event()
+        self._drain = Drain()
+        self._drain_until = 0.0
         self._telemetry = Telemetry(settings)
         self._channels = Channels(settings, self._telemetry)
         self._reports = Reports()
@@ -103,7 +108,7 @@
         Returns
         -------
         int
-            Exit code.
+            0 after a graceful stop, 3 if a request was cut.
         """
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
@@ -116,7 +121,7 @@
         _LOG.info("daemon: started")
         async with asyncio.TaskGroup() as group:
             background = [group.create_task(task) for task in self._tasks()]
-            await self._serve_front_doors()
+            cut = await self._serve_front_doors()
             for task in background:
                 task.cancel()
         await peers.stop()
@@ -124,8 +129,8 @@
             await self._replica.stop()
         self._channels.close()
         await asyncio.to_thread(self._telemetry.stop)
-        _LOG.info("daemon: stopped")
-        return 0
+        _LOG.info("daemon: stopped, %d requests cut", cut)
+        return EXIT_CUT if cut else 0
 
     def _observe(self):
         """Let metrics read what this process knows."""
@@ -217,18 +222,33 @@
             )
 
     async def _serve_front_doors(self):
-        timeout = aiohttp.ClientTimeout(
-            total=None,
-            sock_connect=self._settings.backends.connect_timeout_s,
-        )
-        connector = aiohttp.TCPConnector(limit=0)
-        async with aiohttp.ClientSession(
-            timeout=timeout, connector=connector, auto_decompress=False
-        ) as client:
+        """Serve until the stop; return the number of requests cut."""
+        async with BackendClient(self._settings) as client:
             servers = list(self._front_doors(client))
             await asyncio.gather(
-                *(server.serve_until(self._stop) for server in servers)
+                self._announce_stop(),
+                *(server.serve_until(self._closing) for server in servers),
             )
+            # Completions of claims follow the last answers.
+            left = await self._drain.wait(self._drain_until - time.monotonic())
+        return left + sum(server.cut for server in servers)
+
+    async def _announce_stop(self):
+        """Leave the look-ups at a signal, and close some time later.
+
+        Further signals change nothing: they must not cut a request.
+        """
+        await self._stop.wait()
+        _LOG.info("daemon: draining")
+        self._state = VmState.DRAINING
+        self._drain.begin()
+        if "entry" in self._settings.vm.roles:
+            await asyncio.sleep(self._settings.entry.drain_notice_s)
+        self._drain.close()
+        self._drain_until = (
+            time.monotonic() + self._settings.entry.drain_limit_s
+        )
+        self._closing.set()
 
     def _entry_vm(self, client):
         own = self._settings
@@ -241,20 +261,21 @@
             samples=self._samples,
             control=ControlClient(own, self._channels),
             client=client,
+            secret=read_secret(own.peer),
+            drain=self._drain,
         )
 
     def _front_doors(self, client):
         own = self._settings
-        limit_s = own.entry.drain_limit_s
         if "entry" in own.vm.roles:
             vm = self._entry_vm(client)
-            yield HttpServer(make_caller_app(vm), own.entry.listen, limit_s)
+            yield HttpServer(make_caller_app(vm), own.entry.listen, own)
             yield HttpServer(
-                make_announce_app(vm), own.entry.announce_listen, limit_s
+                make_announce_app(vm), own.entry.announce_listen, own
             )
         if self._replica is not None:
             admin = FleetAdmin(
                 own, self._replica, self._channels, self._reports
             )
             app = make_admin_app(admin, Operators(own))
-            yield HttpServer(app, own.admin.listen, limit_s)
+            yield HttpServer(app, own.admin.listen, own)
--- a/medlarhollow/distribution/tests/test_reconsider.py
+++ b/medlarhollow/distribution/tests/test_reconsider.py
@@ -1,13 +1,16 @@
 """Changes of upstream."""
 
 import asyncio
-import sys
 import time
+from types import SimpleNamespace
+
+import pytest
 
 from medlarhollow.daemon.fleet_service import FleetService
 from medlarhollow.distribution import FleetCopy
 from medlarhollow.distribution import Reports
 from medlarhollow.distribution.follow import _follow_one
+from medlarhollow.distribution.follow import _Follower
 from medlarhollow.localfleet.ports import free_addresses
 from medlarhollow.messages.records import SyncResponse
 from medlarhollow.messages.records import Vm
@@ -30,9 +33,10 @@
 """
 
 
-async def test_earlier_upstream_is_tried_again(tmp_path, monkeypatch):
+@pytest.mark.parametrize(("leads_at_once"), [True, False])
+async def test_upstream_is_left_without_an_error(tmp_path, leads_at_once):
     """Guards against a daemon that ends with an error of the stream when it
-    leaves a working upstream to try an earlier one."""
+    leaves an upstream, in use or not yet, over a real connection."""
     secret = tmp_path / "secret"
     secret.write_text("s" * 64)
     (address,) = free_addresses(1)
@@ -45,19 +49,20 @@
     server = PeerServer(settings, [service])
     await server.start()
     channels = Channels(settings)
-    module = sys.modules["medlarhollow.distribution.follow"]
-    monkeypatch.setattr(module, "_RECONSIDER_S", 0.2)
+    replica = SimpleNamespace(is_leader=leads_at_once, leader_address="")
+    vm = _Follower(
+        FleetCopy(settings),
+        channels,
+        Reports(),
+        lambda now: VmReport(vm=Vm(name="vm-1")),
+        settings,
+        replica,
+    )
+    loop = asyncio.get_running_loop()
+    loop.call_later(0.2, setattr, replica, "is_leader", True)
     try:
         async with asyncio.timeout(5):
-            await _follow_one(
-                address,
-                1,
-                FleetCopy(settings),
-                channels,
-                Reports(),
-                lambda now: VmReport(vm=Vm(name="vm-1")),
-                settings,
-            )
+            assert await _follow_one(vm, address) is not leads_at_once
     finally:
         channels.close()
         await server.stop()
