Stop the quick start's processes at any signal

Cause: SIGTERM before or after the steps would have left daemons running.

Change: SIGTERM counts as an interrupt for the whole run; tests of the step runner, of its time limit and of both signals.

Conclusion: the quick start leaves nothing behind unless it is killed by SIGKILL.

--- a/medlarhollow/localfleet/quickstart.py
+++ b/medlarhollow/localfleet/quickstart.py
@@ -34,7 +34,7 @@
 )
 
 
-async def run_steps(steps, started_at, out=print):
+async def run_steps(steps, started_at, out=None):
     """Run steps one after the other and tell how each went.
 
     Parameters
@@ -44,14 +44,15 @@
         raises if the step did not hold.
     started_at : float
         Monotonic time in seconds at which the run began.
-    out : callable
-        Takes lines.
+    out : callable or None
+        Takes lines; None to print them.
 
     Returns
     -------
     int
         Number of steps that did not hold.
     """
+    out = out or _print
     failed = 0
     for name, step in steps:
         begun_at = time.monotonic()
@@ -72,6 +73,10 @@
     return failed
 
 
+def _print(line):
+    print(line, flush=True)
+
+
 async def _run(fleet, started_at):
     task = asyncio.current_task()
     loop = asyncio.get_running_loop()
@@ -89,6 +94,10 @@
         return await run_steps(make_steps(tour), started_at)
 
 
+def _interrupt(number, frame):
+    raise KeyboardInterrupt
+
+
 def main():
     """Run the quick start.
 
@@ -99,6 +108,7 @@
         130 if it was interrupted.
     """
     started_at = time.monotonic()
+    signal.signal(signal.SIGTERM, _interrupt)
     with tempfile.TemporaryDirectory(prefix="medlarhollow-") as folder:
         fleet = LocalFleet(folder, 3, DATA_CENTRES, OPTIONS)
         for name, version, *entries in BACKENDS:
@@ -113,6 +123,9 @@
         try:
             fleet.start()
             failed = asyncio.run(_run(fleet, started_at))
+            # The event loop has put the default back, which would leave the
+            # processes running.
+            signal.signal(signal.SIGTERM, _interrupt)
             codes = fleet.stop()
             logs = {name: fleet.processes[name].log for name in codes}
         except (asyncio.CancelledError, KeyboardInterrupt):
--- /dev/null
+++ b/medlarhollow/localfleet/tests/test_quickstart.py
@@ -0,0 +1,89 @@
+"""The quick start itself; its steps run with ``make quickstart``."""
+
+import asyncio
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+import time
+
+import pytest
+
+from medlarhollow.localfleet import quickstart
+from medlarhollow.localfleet.quickstart import run_steps
+
+LIMIT_S = 30.0
+
+
+async def _hold():
+    return "as expected"
+
+
+async def _fail():
+    raise AssertionError("three VMs")
+
+
+async def _hang():
+    await asyncio.sleep(60)
+
+
+async def test_failed_step_is_told_and_counted():
+    """Guards against a failed step that ends as success or hides those
+    after it."""
+    lines = []
+    steps = [("first", _hold), ("second", _fail), ("third", _hold)]
+    failed = await run_steps(steps, time.monotonic(), lines.append)
+    assert failed == 1
+    marks = [line.split()[2] for line in lines]
+    assert marks == ["ok", "FAILED", "ok"]
+    assert "three VMs" in lines[1]
+
+
+async def test_run_ends_at_its_limit(monkeypatch):
+    """Guards against a quick start that hangs with its fleet."""
+    monkeypatch.setattr(quickstart, "RUN_LIMIT_S", 0.2)
+    lines = []
+    steps = [("hangs", _hang), ("late", _hang)]
+    failed = await run_steps(steps, time.monotonic(), lines.append)
+    assert failed == 2
+    assert all("took too long" in line for line in lines)
+
+
+def _children(pid):
+    path = pathlib.Path(f"/proc/{pid}/task/{pid}/children")
+    return [int(text) for text in path.read_text().split()]
+
+
+def _is_running(pid):
+    try:
+        state = pathlib.Path(f"/proc/{pid}/stat").read_text()
+    except FileNotFoundError:
+        return False
+    return state.rsplit(")", 1)[1].split()[0] != "Z"
+
+
+@pytest.mark.skipif(
+    not pathlib.Path("/proc/self/task").exists(), reason="needs /proc"
+)
+@pytest.mark.parametrize("number", [signal.SIGTERM, signal.SIGINT])
+def test_interrupted_run_leaves_no_process(number):
+    """Guards against daemons that run on after Ctrl-C."""
+    process = subprocess.Popen(
+        [sys.executable, "-m", "medlarhollow.localfleet.quickstart"],
+        stdout=subprocess.DEVNULL,
+        stderr=subprocess.DEVNULL,
+    )
+    try:
+        give_up_at = time.monotonic() + LIMIT_S
+        children = []
+        while len(children) < 11 and time.monotonic() < give_up_at:
+            time.sleep(0.1)
+            children = _children(process.pid)
+        assert len(children) == 11
+        os.kill(process.pid, number)
+        assert process.wait(LIMIT_S) == 130
+        assert not any(_is_running(child) for child in children)
+    finally:
+        process.kill()
+        process.wait()
