Name metrics, spans and front doors on pages

Cause: operators could not look up what is exported, and the README showed two commands only.

Conclusion: names on the page are those exported.

--- a/medlarhollow/telemetry/tests/test_telemetry.py
+++ b/medlarhollow/telemetry/tests/test_telemetry.py
@@ -1,6 +1,8 @@
 """Metrics and traces."""
 
 import json
+import pathlib
+import re
 from types import SimpleNamespace
 
 from grpclib.testing import ChannelFor
@@ -13,9 +15,13 @@
 from medlarhollow.messages.services import ControlBase
 from medlarhollow.messages.services import ControlStub
 from medlarhollow.telemetry import Telemetry
+from medlarhollow.telemetry.instruments import _COUNTERS
+from medlarhollow.telemetry.instruments import _GAUGES
+from medlarhollow.telemetry.rpc import _HOPS
 from medlarhollow.telemetry.rpc import CountingCodec
 from medlarhollow.telemetry.rpc import trace_server
 
+ROOT = pathlib.Path(__file__).resolve().parents[3]
 TRACE = "4bf92f3577b34da6a3ce929d0e0e4736"
 
 
@@ -228,3 +234,12 @@
     points = metrics_of(read())["medlarhollow.sync.bytes"]
     counted = {p["attributes"]["direction"]: p["value"] for p in points}
     assert counted == {"sent": len(data), "received": len(data)}
+
+
+def test_reference_names_every_metric_and_hop():
+    """Guards against a dashboard built on names that are not exported."""
+    page = (ROOT / "docs" / "reference" / "telemetry.md").read_text()
+    told = set(re.findall(r"`(medlarhollow\.[a-z_.]+)`", page))
+    made = {entry[0] for entry in (*_COUNTERS.values(), *_GAUGES.values())}
+    assert told == made | {"medlarhollow.request.duration"}
+    assert all(f"`{name}`" in page for name in _HOPS.values())
