--- a/medlarhollow/distribution/follow.py
+++ b/medlarhollow/distribution/follow.py
@@ -133,6 +133,7 @@
                     usable = True
                     vm.failures.pop(address, None)
                 if sequence:
+                    # A stream on which nothing was sent cannot be cancelled.
                     await stream.cancel()
     except (GRPCError, StreamTerminatedError, OSError) as error:
         _fail(vm, address, error)
