--- a/medlarhollow/distribution/tests/test_reconsider.py
+++ b/medlarhollow/distribution/tests/test_reconsider.py
@@ -45,7 +45,9 @@
     await upstream.take(
         SyncResponse(cluster="test", freshness_age_s=0.0), time.monotonic()
     )
-    service = FleetService(settings, lambda: upstream, Reports(), None)
+    service = FleetService(
+        settings, lambda: upstream, Reports(), None, None, None
+    )
     server = PeerServer(settings, [service])
     await server.start()
     channels = Channels(settings)
--- a/medlarhollow/steering/tests/test_dispatcher.py
+++ b/medlarhollow/steering/tests/test_dispatcher.py
@@ -305,9 +305,9 @@
         from_version="1",
         to_version="2",
         fraction=1.0,
-        deadline_s=time.time() + 60,
     )
     state_of(near).revision += 1
+    near.dispatcher._copy.proof_at = time.monotonic()
     assert (await near.acquire()).ok_value.version == "1"
     near.announce("n", version="2")
     assert (await near.acquire()).ok_value.version == "2"
