Let tokens go on in a cut-off data centre for routes with stale_keys_s

A route with stale_keys_s was refused as well, since the allocator's lease ended after 3 s. The rule for raising shares relied on signs of life, which may be lost on a path that still brings proof.

Change: only entry VMs become allocators. An allocator's lease is extended by the longest stale_keys_s that a route ever had; a successor on another VM waits that long, one on the same VM only the plain lease. A share is raised only after the lower shares were agreed on longer ago than lease and batch lease.

Conclusion: harmless look-ups go on under a cut where the operator says so, at the price of a longer wait after an allocator's VM is lost.

--- a/medlarhollow/configuration/services.py
+++ b/medlarhollow/configuration/services.py
@@ -90,6 +90,9 @@
             "stale_keys_s is allowed on idempotent routes only",
         )
     state.routes[(route.host, route.path_prefix)] = route
+    state.longest_stale_keys_s = max(
+        state.longest_stale_keys_s, route.stale_keys_s
+    )
     return Ok(None)
 
 
--- a/medlarhollow/configuration/shares.py
+++ b/medlarhollow/configuration/shares.py
@@ -112,12 +112,41 @@
             f"'{allocator.vm}' of incarnation '{allocator.incarnation}' does "
             f"not serve in data centre '{allocator.data_centre}'",
         )
-    state.allocators[allocator.data_centre] = attrs.evolve(
-        allocator, epoch=state.revision + 1
-    )
+    known = state.allocators.get(allocator.data_centre)
+    if known is not None and _same_process(known, allocator):
+        named = attrs.evolve(known, started=known.started or allocator.started)
+    else:
+        named = attrs.evolve(
+            allocator,
+            epoch=state.revision + 1,
+            has_predecessor=known is not None,
+            predecessor_may_run=_may_run(known, allocator),
+            started=False,
+        )
+    state.allocators[allocator.data_centre] = named
     return Ok(None)
 
 
+def _same_process(known, allocator):
+    return (known.vm, known.incarnation) == (
+        allocator.vm,
+        allocator.incarnation,
+    )
+
+
+def _may_run(known, allocator):
+    """Return whether an earlier holder may still hand out tokens.
+
+    A new incarnation listens on the address of the VM's last one, which has
+    therefore ended. One that had not started may itself have waited for a
+    process on another VM.
+    """
+    if known is None:
+        return False
+    ended = known.vm == allocator.vm
+    return not ended or (known.predecessor_may_run and not known.started)
+
+
 def _is_empty(share):
     return share.rate_per_s == share.burst == 0
 
--- a/medlarhollow/configuration/state.py
+++ b/medlarhollow/configuration/state.py
@@ -32,6 +32,9 @@
         Links by (from region, to region).
     shares : dict
         Shares by (account, data centre).
+    longest_stale_keys_s : float
+        Largest `stale_keys_s` that a route ever had, in seconds. It never
+        falls, since a VM that is cut off may still hold the route as it was.
     shift : Shift or None
         The preset in force and how far the shift to it has come.
     """
@@ -40,6 +43,7 @@
     revision: int = 0
     operator_revision: int = 0
     time_s: float = 0.0
+    longest_stale_keys_s: float = 0.0
     accounts: dict = attrs.field(factory=dict)
     keys: dict = attrs.field(factory=dict)
     services: dict = attrs.field(factory=dict)
@@ -66,6 +70,7 @@
             revision=self.revision,
             operator_revision=self.operator_revision,
             time_s=self.time_s,
+            longest_stale_keys_s=self.longest_stale_keys_s,
             shift=self.shift,
             **{
                 name: tuple(records[key] for key in sorted(records))
@@ -92,6 +97,7 @@
             revision=snapshot.revision,
             operator_revision=snapshot.operator_revision,
             time_s=snapshot.time_s,
+            longest_stale_keys_s=snapshot.longest_stale_keys_s,
             shift=snapshot.shift,
         )
         for name, table in state._tables():
--- a/medlarhollow/control/leases.py
+++ b/medlarhollow/control/leases.py
@@ -2,12 +2,16 @@
 
 import attrs
 
+from ..configuration.leases import allocator_hold_s
+
 __all__ = ["LeaseWatch"]
 
 # An allocator counts its lease from its request, which carries its report. A
 # report may wait 0.5 s at each of two relays, and clocks differ in rate.
 _MARGIN_PART = 0.5
 _FORGET_LEASES = 20.0
+# Clocks of two VMs differ in rate by less than this.
+_DRIFT = 0.01
 
 
 @attrs.define
@@ -31,7 +35,9 @@
     """
 
     def __init__(self, settings, now):
+        self._limits = settings.limits
         self._lease_s = settings.limits.allocator_lease_s
+        self._shares = {}
         self._since = now
         self._signs = {}
 
@@ -82,6 +88,38 @@
         last = self._since if sign is None else max(self._since, sign.at)
         return now - last > self._lease_s * (1 + _MARGIN_PART)
 
+    def is_superseded(self, share, state, now):
+        """Tell whether nothing is handed out or spent on an earlier share.
+
+        Parameters
+        ----------
+        share : Share
+            As the state holds it.
+        state : FleetState
+            Its routes extend the lease of allocators.
+        now : float
+            Monotonic time in seconds.
+
+        Returns
+        -------
+        bool
+            True if it was agreed on longer ago than an allocator's lease and
+            that of a batch.
+
+        Notes
+        -----
+        Whoever does not know of the share has no proof of authority that is
+        younger than the agreement, whatever path its proof took. Signs of
+        life alone may be lost on a path that brings proof.
+        """
+        place = (share.account, share.data_centre)
+        epoch, since = self._shares.get(place, (None, now))
+        if epoch != share.epoch:
+            epoch, since = self._shares[place] = (share.epoch, now)
+        lease_s = allocator_hold_s(state, self._limits)
+        wait_s = lease_s + self._limits.batch_lease_s
+        return now - since > wait_s * (1 + _DRIFT)
+
     def share_epoch(self, allocator):
         """Return the epoch of the shares that an allocator has taken over.
 
--- a/medlarhollow/control/shares.py
+++ b/medlarhollow/control/shares.py
@@ -47,7 +47,7 @@
     expired. Which of the two is next follows from the state, so a new leader
     continues a transfer.
     """
-    active = {vm.data_centre for vm in state.vms.values()}
+    active = {vm.data_centre for vm in state.vms.values() if vm.caller_address}
     if not active:
         return None
     changes = []
@@ -139,10 +139,18 @@
 
 
 def _is_settled(state, shares, leases, now):
+    # The time of each share counts from the first look at it, so that all
+    # are looked at each time.
+    superseded = [
+        leases.is_superseded(share, state, now) for share in shares.values()
+    ]
     return all(
-        _is_unused(state, place, leases, now)
+        place not in state.allocators
         or leases.share_epoch(state.allocators[place]) >= share.epoch
-        for place, share in shares.items()
+        or (is_old and leases.is_over(state.allocators[place], now))
+        for is_old, (place, share) in zip(
+            superseded, shares.items(), strict=True
+        )
     )
 
 
--- a/medlarhollow/control/tests/fleet.py
+++ b/medlarhollow/control/tests/fleet.py
@@ -23,6 +23,7 @@
 
 def vm(name, incarnation="i1", **more):
     """Return a VM; its data centre is the first letter of its name."""
+    more.setdefault("caller_address", "192.0.2.1:80")
     return Vm(name, incarnation, "n", f"dc-{name[0]}", **more)
 
 
--- a/medlarhollow/limits/allocator.py
+++ b/medlarhollow/limits/allocator.py
@@ -1,5 +1,6 @@
 """Hand out a data centre's shares to its VMs."""
 
+from ..configuration.leases import allocator_hold_s
 from ..messages.records import ErrorKind
 from ..messages.records import Failure
 from ..messages.records import TokenResponse
@@ -127,7 +128,7 @@
 
     def _is_fresh(self, now):
         age_s = self._copy.freshness_age_s(now)
-        return age_s < self._limits.allocator_lease_s
+        return age_s < allocator_hold_s(self._copy.state, self._limits)
 
     def _shares(self):
         return [
@@ -150,21 +151,26 @@
             self._share_epoch = 0
             return
         if named.epoch != self._epoch:
-            self._begin(named.epoch, now)
+            self._begin(named, now)
         if self._seen != (state, state.revision):
             self._follow_shares(now)
             self._seen = (state, state.revision)
 
-    def _begin(self, epoch, now):
-        self._epoch = epoch
+    def _begin(self, named, now):
+        self._epoch = named.epoch
         self._buckets.clear()
         self._seen = None
         self._share_epoch = 0
-        # The first allocator of a data centre has no predecessor.
-        wait_s = self._limits.allocator_lease_s + self._limits.batch_lease_s
-        self._starts_at = now
-        if epoch > 1:
-            self._starts_at += wait_s * (1 + LEASE_DRIFT)
+        self._starts_at = now + self._wait_s(named) * (1 + LEASE_DRIFT)
+
+    def _wait_s(self, named):
+        """Return the time until no predecessor's tokens are spent."""
+        if not named.has_predecessor:
+            return 0.0
+        lease_s = self._limits.allocator_lease_s
+        if named.predecessor_may_run:
+            lease_s = allocator_hold_s(self._copy.state, self._limits)
+        return lease_s + self._limits.batch_lease_s
 
     def _follow_shares(self, now):
         shares = {share.account: share for share in self._shares()}
--- a/medlarhollow/limits/tests/support.py
+++ b/medlarhollow/limits/tests/support.py
@@ -67,7 +67,11 @@
         state.shares[("crew", data_centre)] = share
     for data_centre, vm, epoch in allocators:
         state.allocators[data_centre] = Allocator(
-            data_centre, vm, f"{vm}#1", epoch
+            data_centre,
+            vm,
+            f"{vm}#1",
+            epoch,
+            has_predecessor=epoch > 1,
         )
     state.accounts["crew"] = Account("crew", 10.0, 10.0)
     return state
--- a/medlarhollow/limits/tests/test_allocator.py
+++ b/medlarhollow/limits/tests/test_allocator.py
@@ -15,7 +15,8 @@
 from .support import make_state
 from .support import StandInCopy
 
-LEASES_S = 3.0 + 1.0
+LEASE_S = 3.0
+LEASES_S = LEASE_S + 1.0
 
 
 def make_allocator(epoch=1, vm="a", rate_per_s=10.0, burst=10.0, now=0.0):
@@ -42,7 +43,12 @@
     share = state.shares[("crew", "north-a")]
     for name, value in changes.items():
         if name in ("vm", "incarnation"):
-            named = attrs.evolve(named, epoch=named.epoch + 1, **{name: value})
+            named = attrs.evolve(
+                named,
+                epoch=named.epoch + 1,
+                has_predecessor=True,
+                **{name: value},
+            )
         else:
             share = attrs.evolve(share, epoch=state.revision, **{name: value})
     state.allocators["north-a"] = named
@@ -184,3 +190,46 @@
     state.allocators["lost"] = Allocator("lost", "unknown", "", 1)
     found = list_sources(state, make_settings("a").vm)
     assert [source.vm for source in found] == ["a", "b", "z"]
+
+
+STALE_KEYS_S = 60.0
+
+
+@pytest.mark.parametrize(
+    ("stale_keys_s", "age_s", "serves"),
+    [
+        (0.0, LEASE_S + 0.1, False),
+        (STALE_KEYS_S, LEASE_S + 0.1, True),
+        (STALE_KEYS_S, LEASE_S + STALE_KEYS_S + 0.1, False),
+    ],
+)
+def test_stale_routes_extend_the_lease(stale_keys_s, age_s, serves):
+    """Guards a data centre that is cut off: its routes with stale_keys_s
+    need tokens for as long, and no longer."""
+    allocator, copy = make_allocator()
+    copy.state.longest_stale_keys_s = stale_keys_s
+    copy.proof_at = 0.0
+    response = allocator.acquire(
+        TokenRequest(account="crew", tokens=1.0), age_s
+    )
+    assert (response.tokens > 0) == serves
+
+
+@pytest.mark.parametrize(
+    ("may_run", "wait_s"),
+    [(False, LEASES_S), (True, LEASES_S + STALE_KEYS_S)],
+)
+def test_a_successor_waits_for_a_process_on_another_vm(may_run, wait_s):
+    """Guards the rate of an account when a lost allocator on another VM goes
+    on for its stale routes, cut off from control."""
+    allocator, copy = make_allocator(epoch=1, now=0.0)
+    copy.state.longest_stale_keys_s = STALE_KEYS_S
+    named = copy.state.allocators["north-a"]
+    copy.state.allocators["north-a"] = attrs.evolve(
+        named, epoch=5, has_predecessor=True, predecessor_may_run=may_run
+    )
+    copy.state.revision += 1
+    copy.proof_at = float("inf")
+    assert allocator.share_epoch(10.0) == 0
+    assert allocator.share_epoch(10.0 + wait_s * 0.99) == 0
+    assert allocator.share_epoch(10.0 + wait_s * 1.02) > 0
--- a/medlarhollow/limits/tests/test_escrow.py
+++ b/medlarhollow/limits/tests/test_escrow.py
@@ -146,7 +146,11 @@
         known = self.state.allocators.get(vm.site)
         self.state.revision += 1
         self.state.allocators[vm.site] = Allocator(
-            vm.site, name, vm.incarnation, known.epoch + 1 if known else 1
+            vm.site,
+            name,
+            vm.incarnation,
+            known.epoch + 1 if known else 1,
+            has_predecessor=known is not None,
         )
 
     def request(self, vm, wallet, tokens, close_within_s):
--- a/medlarhollow/messages/records.py
+++ b/medlarhollow/messages/records.py
@@ -309,6 +309,9 @@
     vm: str = ""
     incarnation: str = ""
     epoch: int = 0
+    has_predecessor: bool = False
+    predecessor_may_run: bool = False
+    started: bool = False
 
 
 @attrs.frozen
@@ -579,6 +582,7 @@
     vms: "tuple[Vm, ...]" = ()
     shares: "tuple[Share, ...]" = ()
     allocators: "tuple[Allocator, ...]" = ()
+    longest_stale_keys_s: float = 0.0
     requests: "tuple[RequestRecord, ...]" = ()
     claims: "tuple[ClaimRecord, ...]" = ()
     time_s: float = 0.0
