--- a/medlarhollow/agreement/formation.py
+++ b/medlarhollow/agreement/formation.py
@@ -38,9 +38,21 @@
     asked, from the leader.
     """
     control = node.settings.control
+    if node.address not in control.replicas and node.log.last_index == 0:
+        _LOG.warning(
+            "agreement: [control] replicas does not name this replica's "
+            "address %s; it waits for an operator to add it",
+            node.address,
+        )
     if not control.bootstrap or node.address != min(control.replicas):
         return
     others = [known for known in control.replicas if known != node.address]
+    if node.log.last_index == 0:
+        _LOG.info(
+            "agreement: the folder is empty; forms a cluster when %s have "
+            "answered that theirs are, too, or joins theirs",
+            ", ".join(others) or "no others",
+        )
     while node.log.last_index == 0 and not node.failed:
         statuses = await asyncio.gather(
             *(_ask_status(node, channels, address) for address in others)
