--- a/medlarhollow/admin/fleet_admin.py
+++ b/medlarhollow/admin/fleet_admin.py
@@ -62,20 +62,20 @@
         """Wait until this replica has what the leader had accepted.
 
         An operator who asks a follower right after a change must see it.
-        Without an answer of the leader, what this replica has must do.
+
+        Returns
+        -------
+        bool
+            False if the leader did not answer or this replica stays behind,
+            so that its state may be old.
         """
+        if self._replica.is_leader:
+            return True
         leader = self._replica.leader_address
-        if self._replica.is_leader or not leader:
-            return
-        status = await self._ask_replica(leader)
-        if status.status is None:
-            return
-        give_up_at = time.monotonic() + _REPLICA_TIMEOUT_S
-        while self.state.revision < status.status.revision:
-            left_s = give_up_at - time.monotonic()
-            if left_s <= 0:
-                return
-            await self._replica.wait_for_revision(self.state.revision, left_s)
+        if not leader:
+            return False
+        status = (await self._ask_replica(leader)).status
+        return status is not None and await self._reach(status.revision)
 
     async def propose(self, order, body, part=""):
         """Propose one change.
@@ -104,7 +104,11 @@
             encode(change)
         except ValueError as error:
             return fail(ErrorKind.BAD_REQUEST, str(error))
-        return await self._replica.propose(change)
+        result = await self._replica.propose(change)
+        if result.is_ok():
+            # So that the next order to this replica finds the change.
+            await self._reach(result.ok_value.revision)
+        return result
 
     async def set_replica(self, replica, remove):
         """Add or remove one control replica.
@@ -191,6 +195,16 @@
         prefix = change_request_id(order, "") + "."
         return commits[0].change.request_id.startswith(prefix)
 
+    async def _reach(self, revision):
+        """Wait for a revision; return whether this replica has it."""
+        give_up_at = time.monotonic() + _REPLICA_TIMEOUT_S
+        while self.state.revision < revision:
+            left_s = give_up_at - time.monotonic()
+            if left_s <= 0:
+                return False
+            await self._replica.wait_for_revision(self.state.revision, left_s)
+        return True
+
     async def _ask_replicas(self):
         addresses = self._settings.control.replicas
         return tuple(
--- a/medlarhollow/admin/tests/test_fleet_admin.py
+++ b/medlarhollow/admin/tests/test_fleet_admin.py
@@ -4,8 +4,11 @@
 from types import SimpleNamespace
 
 import pytest
+from result import Ok
 
 from medlarhollow.admin import FleetAdmin
+from medlarhollow.admin.documents import Configuration
+from medlarhollow.admin.operations import apply_configuration
 from medlarhollow.admin.requests import Order
 from medlarhollow.localfleet.ports import free_addresses
 from medlarhollow.messages.records import Applied
@@ -64,6 +67,11 @@
 class Follower(FakeReplica):
     """Replica that is behind its leader."""
 
+    lag = 0
+
+    async def propose(self, change):
+        return Ok(Applied(revision=self.state.revision + self.lag))
+
     async def wait_for_revision(self, revision, timeout_s):
         await asyncio.sleep(min(0.01, timeout_s))
         self.state.revision += 1
@@ -93,19 +101,30 @@
 
 
 async def test_follower_catches_up_before_it_answers(fleet):
-    """Guards against an operator who does not see the change just made, and
-    against a document based on an old revision."""
-    await fleet.admin.catch_up()
+    """Guards against an operator who does not see the change just made."""
+    assert await fleet.admin.catch_up()
     assert fleet.follower.state.revision == 7
 
 
-async def test_follower_answers_without_a_leader(fleet):
-    """Guards against a replica that cannot be asked during an outage."""
-    fleet.follower.leader_address = fleet.dead
-    await fleet.admin.catch_up()
-    fleet.follower.leader_address = ""
-    await fleet.admin.catch_up()
-    assert fleet.follower.state.revision == 0
+async def test_follower_tells_that_it_may_be_behind(fleet):
+    """Guards against a replica that cannot be asked during an outage, and
+    against a document compared with an old state."""
+    order = Order("ana", "r1", body=Configuration(accounts=()))
+    for leader in (fleet.dead, ""):
+        fleet.follower.leader_address = leader
+        assert not await fleet.admin.catch_up()
+        assert fleet.follower.state.revision == 0
+        result = await apply_configuration(fleet.admin, order)
+        assert result.err_value.kind is ErrorKind.NOT_LEADER
+
+
+async def test_change_is_in_the_state_before_its_answer(fleet):
+    """Guards against a follower whose next answer lacks the change that it
+    has just passed on."""
+    fleet.follower.lag = 3
+    result = await fleet.admin.propose(Order("ana", "r1"), PutAccount())
+    assert result.ok_value.revision == 3
+    assert fleet.follower.state.revision == 3
 
 
 async def test_replica_order_reaches_the_leader(fleet):
