--- a/medlarhollow/localfleet/tour.py
+++ b/medlarhollow/localfleet/tour.py
@@ -149,8 +149,8 @@
     async def revoke(self):
         """Revoke a key and measure until every entry VM refuses it."""
         key_id = self._keys["crews"].split("_")[1]
-        _need(await self._admin.change("DELETE", f"/v1/keys/{key_id}"))
         begun_at = time.monotonic()
+        _need(await self._admin.change("DELETE", f"/v1/keys/{key_id}"))
 
         async def check():
             for entry in self._entries:
@@ -160,7 +160,7 @@
         await eventually(check)
         took_s = time.monotonic() - begun_at
         assert took_s < 4.0, f"took {took_s:.2f} s"
-        return f"refused by every entry VM after {took_s:.2f} s"
+        return f"refused by every entry VM {took_s:.2f} s after the order"
 
     async def switch_preset(self):
         """Activate a preset and follow its shift to the end."""
