--- a/medlarhollow/cli/fleet.py
+++ b/medlarhollow/cli/fleet.py
@@ -75,7 +75,7 @@
                 show_table([_describe(item) for item in data["replicas"]]),
                 "\ndata centres:",
                 show_table(data["data_centres"]),
-                "\nentry VMs:",
+                "\nVMs:",
                 show_table(data["vms"]),
             )
         )
--- a/medlarhollow/cli/output.py
+++ b/medlarhollow/cli/output.py
@@ -65,7 +65,8 @@
     if isinstance(value, bool):
         return "yes" if value else "no"
     if isinstance(value, float):
-        return f"{value:.12g}"
+        # Ages need no more than four digits; Unix times need them all.
+        return f"{value:.4g}" if abs(value) < 1000 else f"{value:.12g}"
     if isinstance(value, list):
         return ", ".join(_show_cell(item) for item in value) or "-"
     if isinstance(value, dict):
