--- a/medlarhollow/daemon/tests/test_front_door.py
+++ b/medlarhollow/daemon/tests/test_front_door.py
@@ -27,8 +27,8 @@
 async def serve(app, **entry):
     """Run a front door; yield a function that connects to it."""
     address = free_addresses(1)[0]
-    settings = make_settings(address, drain_limit_s=1, **entry)
-    server = HttpServer(app, address, settings)
+    settings = make_settings(address, **entry)
+    server = HttpServer(app, address, 1.0, settings.entry)
     stop = asyncio.Event()
     task = asyncio.create_task(server.serve_until(stop))
     while not server.started:
--- a/medlarhollow/entry/tests/stand_ins.py
+++ b/medlarhollow/entry/tests/stand_ins.py
@@ -296,7 +296,10 @@
                 secret=SECRET,
             )
             self.server = HttpServer(
-                make_caller_app(self.vm), self.address, self.settings
+                make_caller_app(self.vm),
+                self.address,
+                1.0,
+                self.settings.entry,
             )
             task = asyncio.create_task(self.server.serve_until(stop))
             while not self.server.started:
--- a/medlarhollow/entry/tests/test_announce.py
+++ b/medlarhollow/entry/tests/test_announce.py
@@ -124,7 +124,7 @@
         ),
     )
     address = free_addresses(1)[0]
-    server = HttpServer(make_announce_app(vm), address, vm.settings)
+    server = HttpServer(make_announce_app(vm), address, 1.0)
     stop = asyncio.Event()
     serving = asyncio.create_task(server.serve_until(stop))
     while not server.started:
