--- a/medlarhollow/daemon/process.py
+++ b/medlarhollow/daemon/process.py
@@ -158,12 +158,14 @@
 
     def _own_vm(self):
         own = self._settings
+        callers = own.entry.advertise or own.entry.listen
         return Vm(
             name=own.vm.name,
             incarnation=self._incarnation,
             region=own.vm.region,
             data_centre=own.vm.data_centre,
-            caller_address=own.entry.advertise or own.entry.listen,
+            # Look-ups must not name a VM that takes no callers.
+            caller_address=callers if "entry" in own.vm.roles else "",
             peer_address=own.peer.advertise or own.peer.listen,
             state=self._state,
         )
--- /dev/null
+++ b/medlarhollow/daemon/tests/fleets.py
@@ -0,0 +1,145 @@
+"""A fleet of real processes with a stand-in backend server."""
+
+import asyncio
+import contextlib
+import hashlib
+
+import aiohttp
+
+from medlarhollow.configuration import new_key
+from medlarhollow.entry.tests.stand_ins import Backend
+from medlarhollow.localfleet import LocalFleet
+
+from .test_whole_path import eventually
+
+OPTIONS = {
+    "entry": {
+        "drain_notice_s": "1.5",
+        "drain_limit_s": "2.0",
+        "lookup_count": "8",
+    }
+}
+
+
+class Fleet:
+    """Two entry VMs and a stand-in backend server of an open route."""
+
+    def __init__(self, fleet, backend, client):
+        self.fleet = fleet
+        self.backend = backend
+        self.client = client
+        self.key = ""
+
+    @property
+    def process(self):
+        return self.fleet.processes["north-a-1"]
+
+    def url(self, name, path):
+        return f"http://{self.fleet.addresses[name].callers}{path}"
+
+    async def set_up(self):
+        credential = hashlib.sha256(b"credential").hexdigest()
+        service = {
+            "name": "plots",
+            "announce_sha256": credential,
+            "version": "1",
+        }
+        account = {"name": "crew", "rate_per_s": 50.0, "burst": 50.0}
+        lookup = {"path_prefix": "/plots", "service": "plots", "open": True}
+        orders = {"path_prefix": "/orders", "service": "plots"}
+        self.key, record = new_key("crew")
+        key = {
+            "key_id": record.key_id,
+            "secret_sha256": record.secret_sha256.hex(),
+        }
+        await eventually(lambda: self.operate("PUT", "accounts", account))
+        await eventually(lambda: self.operate("PUT", "services", service))
+        await eventually(lambda: self.operate("PUT", "routes", lookup))
+        await eventually(lambda: self.operate("PUT", "routes", orders))
+        path = "accounts/crew/keys"
+        await eventually(lambda: self.operate("POST", path, key))
+
+    async def operate(self, method, path, body):
+        admin = self.fleet.addresses["control-1"].admin
+        async with self.client.request(
+            method,
+            f"http://{admin}/v1/{path}",
+            json=body,
+            headers={"authorization": f"Bearer {self.fleet.operator_token}"},
+        ) as response:
+            return response.status == 200
+
+    async def keep_announcing(self):
+        body = {
+            "server_id": "b1",
+            "service": "plots",
+            "version": "1",
+            "address": self.backend.address,
+            "slots": 8,
+        }
+        while True:
+            for name in ("north-a-1", "north-a-2"):
+                announce = self.fleet.addresses[name].announce
+                with contextlib.suppress(aiohttp.ClientError):
+                    async with self.client.post(
+                        f"http://{announce}/v1/announce",
+                        json=body,
+                        headers={"authorization": "Bearer credential"},
+                    ):
+                        pass
+            await asyncio.sleep(0.3)
+
+    async def order(self, name, idempotency_key):
+        """Send one order through an entry VM."""
+        headers = {
+            "x-medlarhollow-key": self.key,
+            "idempotency-key": idempotency_key,
+        }
+        async with self.client.post(
+            self.url(name, "/orders"), headers=headers, data=b"cuttings"
+        ) as response:
+            return response.status, response.headers, await response.read()
+
+    async def get(self, path="/plots"):
+        async with self.client.get(self.url("north-a-1", path)) as response:
+            return response.status, response.headers, await response.read()
+
+    async def named(self):
+        """Return the VMs that the other VM names in a look-up."""
+        url = self.url("north-a-2", "/v1/lookup?service=plots")
+        async with self.client.get(url) as response:
+            if response.status != 200:
+                return set()
+            vms = (await response.json())["entry_vms"]
+            return {vm["name"] for vm in vms}
+
+    async def exit_code(self):
+        async with asyncio.timeout(20):
+            while self.process.exit_code is None:
+                await asyncio.sleep(0.05)
+        return self.process.exit_code
+
+
+@contextlib.asynccontextmanager
+async def run_fleet(folder, behave, replicas=1):
+    """Run the fleet until requests are served."""
+    fleet = LocalFleet(folder, replicas, (("north", "north-a", 2),), OPTIONS)
+    fleet.start()
+    try:
+        async with (
+            Backend(behave) as backend,
+            aiohttp.ClientSession() as client,
+        ):
+            running = Fleet(fleet, backend, client)
+            await running.set_up()
+            announcing = asyncio.create_task(running.keep_announcing())
+
+            async def ready():
+                both = {"north-a-1", "north-a-2"} <= await running.named()
+                return both and (await running.get())[0] == 200
+
+            await eventually(ready)
+            yield running
+            announcing.cancel()
+    finally:
+        fleet.kill()
--- a/medlarhollow/entry/answers.py
+++ b/medlarhollow/entry/answers.py
@@ -1,6 +1,8 @@
 """Answers that the entry VM makes itself."""
 
+import heapq
 import json
+import random
 
 import attrs
 from starlette.responses import JSONResponse
@@ -16,6 +18,7 @@
     "Answer",
     "answer_failure",
     "describe_vm",
+    "list_elsewhere",
     "make_failure_answer",
     "make_replay",
     "serving_vms",
@@ -77,14 +80,10 @@
         With a JSON body that names kind, outcome and detail.
     """
     status, headers, body = _describe(failure)
-    if failure.kind in (ErrorKind.STALE_AUTHORITY, ErrorKind.DRAINING):
-        own = vm.settings.vm.data_centre
-        elsewhere = failure.kind is ErrorKind.STALE_AUTHORITY
-        body["entry_vms"] = [
-            describe_vm(entry)
-            for entry in serving_vms(vm)
-            if not (elsewhere and entry.data_centre == own)
-        ]
+    if failure.kind is ErrorKind.STALE_AUTHORITY:
+        body["entry_vms"] = [describe_vm(each) for each in list_elsewhere(vm)]
+    elif failure.kind is ErrorKind.DRAINING:
+        body["entry_vms"] = [describe_vm(each) for each in serving_vms(vm)]
     headers["content-type"] = "application/json"
     return _whole(status, headers, json.dumps(body).encode())
 
@@ -114,6 +113,7 @@
         if header.name == "set-cookie"
     ]
     body = outcome.body
+    headers[OUTCOME_HEADER] = "completed"
     headers[REPLAY_HEADER] = "complete" if outcome.body_kept else "no-body"
     if not outcome.body_kept and outcome.status not in _BODILESS:
         headers.pop("content-encoding", None)
@@ -131,7 +131,7 @@
 
 
 def serving_vms(vm):
-    """Return the entry VMs that a caller may use, nearest first.
+    """Return the entry VMs that a caller should try, in order.
 
     Parameters
     ----------
@@ -141,18 +141,44 @@
     Returns
     -------
     list of Vm
-        Serving VMs, without this one while it drains.
+        As listed for look-ups, without this one while it drains.
     """
-    listed = list_entry_vms(vm.copy.state, vm.settings)
-    others = sorted(vm.copy.state.vms.values(), key=lambda other: other.name)
-    listed += [other for other in others if other not in listed]
     own = vm.settings.vm.name
     return [
         entry
-        for entry in listed
+        for entry in list_entry_vms(vm.copy.state, vm.settings)
+        if not (vm.drain.draining and entry.name == own)
+    ]
+
+
+def list_elsewhere(vm):
+    """Return entry VMs of other data centres.
+
+    Parameters
+    ----------
+    vm : EntryVm
+        Holds the roster.
+
+    Returns
+    -------
+    list of Vm
+        At most `lookup_count`, those of this region first. Their order is
+        random, so that the callers of a data centre that is cut off spread
+        over the others.
+    """
+    own = vm.settings.vm
+    found = [
+        entry
+        for entry in vm.copy.state.vms.values()
         if entry.state is VmState.SERVING
-        and not (vm.drain.draining and entry.name == own)
+        and entry.caller_address
+        and entry.data_centre != own.data_centre
     ]
+    return heapq.nsmallest(
+        vm.settings.entry.lookup_count,
+        found,
+        key=lambda entry: (entry.region != own.region, random.random()),
+    )
 
 
 def describe_vm(entry):
--- a/medlarhollow/entry/attempts.py
+++ b/medlarhollow/entry/attempts.py
@@ -99,6 +99,14 @@
     CutAnswerError
         If the answer ended early; the caller's connection must be aborted.
     """
+    try:
+        return await _serve(vm, caller, admission, run, prepare)
+    finally:
+        if run.reserved is not None:
+            run.reserved.release()
+
+
+async def _serve(vm, caller, admission, run, prepare):
     while True:
         slot, run.reserved = run.reserved, None
         if slot is None:
@@ -194,8 +202,7 @@
         slot.cut()
         raise
     finally:
-        # Closes the connection unless the answer was read to its end.
-        answer.close()
+        await answer.close()
     return None
 
 
@@ -210,6 +217,7 @@
             admission.idempotent and caller.is_held,
         )
     )
+    answer = None
     try:
         if admission.idempotent and caller.is_held:
             # A silent server may use half of the time that is left.
@@ -219,16 +227,27 @@
                 vm, caller, admission, run
             ):
                 if not sending.done():
-                    return Unanswered(f"{slot.address} is silent")
+                    raise TimeoutError
                 run.reserved.release()
                 run.reserved = None
         left_s = admission.demand.deadline_at - time.monotonic()
         async with asyncio.timeout(left_s):
-            return await sending
+            answer = await sending
+        return answer
     except TimeoutError:
-        return Unanswered(f"no answer from {slot.address} before the deadline")
+        await vm.client.forget(slot.address)
+        return Unanswered(f"{slot.address} was silent")
     finally:
-        sending.cancel()
+        if answer is None and not sending.cancel():
+            await _discard(sending)
+
+
+async def _discard(sending):
+    """Close an answer that arrived while its request was given up."""
+    if not sending.cancelled() and sending.exception() is None:
+        answer = sending.result()
+        if not isinstance(answer, NotSent | Unanswered):
+            await answer.close()
 
 
 def _judge(answer, slot):
--- a/medlarhollow/entry/backend_client.py
+++ b/medlarhollow/entry/backend_client.py
@@ -33,23 +33,27 @@
     aiohttp sends a request again by itself when a kept connection turns
     out to be closed. Requests that must not be repeated, and those whose
     body cannot be read again, therefore get a connection of their own.
+
+    Established connections to a server can all go silent while new ones
+    work. :meth:`forget` therefore retires all kept connections to a server
+    after one was silent; those in use end with their answers.
     """
 
     def __init__(self, settings):
         self._settings = settings
-        self._kept = None
+        self._pools = {}
         self._single = None
 
     async def __aenter__(self):
         """Open the client."""
-        self._kept = self._open(force_close=False)
-        self._single = self._open(force_close=True)
+        self._single = _Pool(self._open(force_close=True))
         return self
 
     async def __aexit__(self, *details):
         """Close all connections."""
-        await self._kept.close()
-        await self._single.close()
+        for address in list(self._pools):
+            await self.forget(address)
+        await self._single.session.close()
 
     async def send(self, method, address, target, headers, body, repeatable):
         """Send a request and wait for the head of its answer.
@@ -71,12 +75,19 @@
 
         Returns
         -------
-        aiohttp.ClientResponse, NotSent or Unanswered
-            An answer must be closed unless it was read to its end.
+        BackendAnswer, NotSent or Unanswered
+            An answer must be closed.
         """
-        session = self._kept if repeatable else self._single
+        pool = self._single
+        if repeatable:
+            pool = self._pools.get(address)
+            if pool is None:
+                session = self._open(force_close=False)
+                pool = self._pools[address] = _Pool(session)
+        pool.used += 1
+        answer = None
         try:
-            return await session.request(
+            answer = await pool.session.request(
                 method,
                 URL(f"http://{address}{target}", encoded=True),
                 headers=headers,
@@ -88,6 +99,10 @@
             return NotSent(f"no connection to {address}: {error}")
         except (aiohttp.ClientError, OSError, ValueError) as error:
             return Unanswered(f"no answer from {address}: {error}")
+        finally:
+            if answer is None:
+                await pool.leave()
+        return BackendAnswer(answer, pool)
 
     async def read(self, answer):
         """Yield the body of an answer.
@@ -101,13 +116,25 @@
         try:
             while True:
                 async with asyncio.timeout(stall_s):
-                    chunk = await answer.content.readany()
+                    chunk = await answer.response.content.readany()
                 if not chunk:
                     return
                 yield chunk
         except (aiohttp.ClientError, OSError) as error:
             raise CutAnswerError(str(error)) from error
 
+    async def forget(self, address):
+        """Use none of the present connections to a server again.
+
+        Parameters
+        ----------
+        address : str
+            ``host:port`` of the server.
+        """
+        pool = self._pools.pop(address, None)
+        if pool is not None:
+            await pool.retire()
+
     def _open(self, force_close):
         timeout = aiohttp.ClientTimeout(
             total=None,
@@ -122,3 +149,65 @@
             max_line_size=_HEAD_LIMIT_BYTES,
             max_field_size=_HEAD_LIMIT_BYTES,
         )
+
+
+class _Pool:
+    """Connections of one session, closed when retired and unused."""
+
+    def __init__(self, session):
+        self.session = session
+        self.used = 0
+        self._retired = False
+
+    async def retire(self):
+        self._retired = True
+        if not self.used:
+            await self.session.close()
+
+    async def leave(self):
+        self.used -= 1
+        if self._retired and not self.used:
+            await self.session.close()
+
+
+class BackendAnswer:
+    """The answer of a backend server, head first.
+
+    Parameters
+    ----------
+    response : aiohttp.ClientResponse
+        The answer as aiohttp gives it.
+    pool : _Pool
+        Where its connection belongs.
+    """
+
+    def __init__(self, response, pool):
+        self._response = response
+        self._pool = pool
+
+    @property
+    def response(self):
+        """The answer as aiohttp gives it."""
+        return self._response
+
+    @property
+    def status(self):
+        """HTTP status."""
+        return self._response.status
+
+    @property
+    def headers(self):
+        """Headers without regard to case."""
+        return self._response.headers
+
+    @property
+    def raw_headers(self):
+        """Tuple of (bytes, bytes) : headers as received."""
+        return self._response.raw_headers
+
+    async def close(self):
+        """Close the connection unless the answer was read to its end."""
+        if self._pool is not None:
+            pool, self._pool = self._pool, None
+            self._response.close()
+            await pool.leave()
--- a/medlarhollow/entry/callers.py
+++ b/medlarhollow/entry/callers.py
@@ -43,10 +43,9 @@
             failure = fail(ErrorKind.NOT_FOUND, "no such service")
             return answer_failure(failure.err_value)
         entry = vm.settings.entry
-        listed = serving_vms(vm)[: entry.lookup_count]
         return JSONResponse(
             {
-                "entry_vms": [describe_vm(each) for each in listed],
+                "entry_vms": [describe_vm(each) for each in serving_vms(vm)],
                 "ttl_s": entry.lookup_ttl_s,
             },
             headers={"cache-control": f"max-age={entry.lookup_ttl_s:g}"},
--- a/medlarhollow/entry/tests/test_faults.py
+++ b/medlarhollow/entry/tests/test_faults.py
@@ -70,6 +70,7 @@
     other server may get the request; before that, another one may."""
     second = Backend(answer(b"second"))
     front = Front()
+    front.add_route("/orders", timeout_s=0.5)
     async with front.run(make_first(case[0]), second):
         status, headers, body = await front.call(
             "/orders",
@@ -215,6 +216,50 @@
     assert backend.connections == 1
 
 
+async def test_silent_kept_connections_are_replaced():
+    """Guards lookups against a path that has lost its connections: after one
+    of them was silent, the next request must use a new one."""
+    silent = set()
+
+    async def behave(request, reader, writer):
+        if request.connection in silent:
+            return await reader.read()
+        return await answer(b"new", delay_s=0.1)(request, reader, writer)
+
+    backend = Backend(behave)
+    front = Front()
+    front.add_route("/plots", timeout_s=0.4, idempotent=True)
+    async with front.run(backend):
+        await asyncio.gather(*(front.call() for _ in range(4)))
+        assert backend.connections == 4
+        silent |= {1, 2, 3, 4}
+        assert (await front.call())[0] == 502
+        assert [(await front.call())[0] for _ in range(4)] == [200] * 4
+        assert backend.connections == 5
+        await eventually(lambda: backend.closed == 4)
+
+
+async def test_retiring_connections_cuts_no_answer():
+    """Guards running answers when the connections to a server are given
+    up."""
+
+    async def behave(request, reader, writer):
+        if b"/plots/silent" in request.head:
+            return await reader.read()
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nfirst")
+        await asyncio.sleep(0.8)
+        writer.write(b"-last")
+        return True
+
+    front = Front()
+    front.add_route("/plots", timeout_s=0.3, idempotent=True)
+    async with front.run(Backend(behave)):
+        running = asyncio.create_task(front.call())
+        await asyncio.sleep(0.1)
+        assert (await front.call("/plots/silent"))[0] == 502
+        assert (await running)[2] == b"first-last"
+
+
 async def test_caller_that_leaves_cancels_the_request():
     """Guards capacity: the slot and the backend connection of a caller that
     left are given up at once."""
