--- a/medlarhollow/daemon/process.py
+++ b/medlarhollow/daemon/process.py
@@ -24,13 +24,16 @@
 from ..entry import make_announce_app
 from ..entry import make_caller_app
 from ..limits import Limiter
+from ..limits import ShareAllocator
 from ..membership import Directory
+from ..messages.records import MoveState
 from ..messages.records import SyncRequest
 from ..messages.records import Vm
 from ..messages.records import VmReport
 from ..messages.records import VmState
-from ..moves import SampleCounter
+from ..moves import VersionSelector
 from ..steering import Dispatcher
+from ..telemetry import Telemetry
 from ..transport import Channels
 from ..transport import PeerServer
 from ..transport.secret import read_secret
@@ -74,17 +77,31 @@
         self._closing = asyncio.Event()
         self._drain = Drain()
         self._drain_until = 0.0
-        self._channels = Channels(settings)
+        self._telemetry = Telemetry(settings)
+        self._channels = Channels(settings, self._telemetry)
         self._reports = Reports()
         self._copy = FleetCopy(settings)
         self._state = VmState.SERVING
         self._incarnation = uuid.uuid4().hex
         self._directory = Directory(settings)
-        self._limiter = Limiter(settings, self._copy, self._channels)
+        self._allocator = ShareAllocator(
+            settings, self._copy, self._incarnation
+        )
+        self._limiter = Limiter(
+            settings,
+            self._copy,
+            self._channels,
+            self._allocator,
+            self._incarnation,
+        )
+        self._samples = VersionSelector(settings, self._copy)
         self._dispatcher = Dispatcher(
-            settings, self._copy, self._directory, self._channels
+            settings,
+            self._copy,
+            self._directory,
+            self._channels,
+            self._samples,
         )
-        self._samples = SampleCounter(settings)
         self._replica = None
         if "control" in settings.vm.roles:
             self._replica = Replica(settings, self._channels)
@@ -100,7 +117,8 @@
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self._stop.set)
-        peers = PeerServer(self._settings, self._services())
+        peers = PeerServer(self._settings, self._services(), self._telemetry)
+        self._observe()
         if self._replica is not None:
             await self._replica.start()
         await peers.start()
@@ -114,11 +132,30 @@
         if self._replica is not None:
             await self._replica.stop()
         self._channels.close()
+        await asyncio.to_thread(self._telemetry.stop)
         _LOG.info("daemon: stopped, %d requests cut", cut)
         return EXIT_CUT if cut else 0
 
+    def _observe(self):
+        """Let metrics read what this process knows."""
+        copy = self._copy
+        self._telemetry.observe("revision", lambda: copy.state.revision)
+        self._telemetry.observe(
+            "freshness_age", lambda: copy.freshness_age_s(time.monotonic())
+        )
+        self._telemetry.observe(
+            "move_fraction",
+            lambda: {
+                move.service: move.fraction
+                for move in tuple(copy.state.moves.values())
+                if move.state is MoveState.IN_PROGRESS
+            },
+        )
+
     def _services(self):
-        fleet = FleetService(self._settings, self._source, self._reports)
+        fleet = FleetService(
+            self._settings, self._source, self._reports, self._allocator
+        )
         if self._replica is None:
             return [fleet]
         return [
@@ -154,22 +191,27 @@
             vm=self._own_vm(),
             revision=self._copy.state.revision,
             freshness_age_s=self._copy.freshness_age_s(now),
+            share_epoch=self._allocator.share_epoch(now),
         )
 
     def _own_vm(self):
         own = self._settings
-        callers = own.entry.advertise or own.entry.listen
         return Vm(
             name=own.vm.name,
             incarnation=self._incarnation,
             region=own.vm.region,
             data_centre=own.vm.data_centre,
-            # Look-ups must not name a VM that takes no callers.
-            caller_address=callers if "entry" in own.vm.roles else "",
+            caller_address=self._caller_address(),
             peer_address=own.peer.advertise or own.peer.listen,
             state=self._state,
         )
 
+    def _caller_address(self):
+        own = self._settings
+        if "entry" not in own.vm.roles:
+            return ""
+        return own.entry.advertise or own.entry.listen
+
     async def _report_samples(self):
         """Pass on what this VM measured; Sync requests carry it away."""
         while True:
--- a/medlarhollow/entry/vm.py
+++ b/medlarhollow/entry/vm.py
@@ -7,7 +7,7 @@
 from ..limits import Limiter
 from ..membership import Directory
 from ..messages.records import ErrorKind
-from ..moves import SampleCounter
+from ..moves import VersionSelector
 from ..requests import RetryBudget
 from ..settings import Settings
 from ..steering import Dispatcher
@@ -33,7 +33,7 @@
         Shares of rate and burst.
     dispatcher : Dispatcher
         Slots of backend servers.
-    samples : SampleCounter
+    samples : VersionSelector
         How versions answer.
     control : ControlClient
         Proposes claims.
@@ -54,7 +54,7 @@
     directory: Directory
     limiter: Limiter
     dispatcher: Dispatcher
-    samples: SampleCounter
+    samples: VersionSelector
     control: ControlClient
     client: BackendClient
     secret: str = attrs.field(repr=False)
