--- a/medlarhollow/daemon/http.py
+++ b/medlarhollow/daemon/http.py
@@ -7,6 +7,7 @@
 
 import uvicorn
 
+from ..settings.generated import EntrySettings
 from ..transport import parse_address
 from .front_door import FrontDoorProtocol
 
@@ -27,29 +28,30 @@
         ASGI application.
     address : str
         ``host:port`` to listen on.
-    settings : Settings
-        Section ``entry`` gives the limits for connections and stops.
+    drain_limit_s : float
+        Limit for running requests at a stop, in seconds.
+    limits : EntrySettings or None
+        Limits for connections and request heads; None for the defaults.
     """
 
-    def __init__(self, app, address, settings):
+    def __init__(self, app, address, drain_limit_s, limits=None):
         host, port = parse_address(address)
+        limits = limits or EntrySettings()
         self._address = address
-        self._limit_s = settings.entry.drain_limit_s
+        self._limit_s = drain_limit_s
         self._cut = 0
         super().__init__(
             uvicorn.Config(
                 app,
                 host=host,
                 port=port,
-                http=functools.partial(
-                    FrontDoorProtocol, limits=settings.entry
-                ),
+                http=functools.partial(FrontDoorProtocol, limits=limits),
                 ws="none",
                 log_config=None,
                 access_log=False,
                 lifespan="off",
                 server_header=False,
-                timeout_keep_alive=settings.entry.keep_alive_s,
+                timeout_keep_alive=limits.keep_alive_s,
             )
         )
 
