--- a/medlarhollow/limits/__init__.py
+++ b/medlarhollow/limits/__init__.py
@@ -1,6 +1,7 @@
 """Shares of the rate and burst of client accounts."""
 
 from .allocator import ShareAllocator
+from .limiter import DEMAND_PERIOD_S
 from .limiter import Limiter
 
-__all__ = ["Limiter", "ShareAllocator"]
+__all__ = ["DEMAND_PERIOD_S", "Limiter", "ShareAllocator"]
--- a/medlarhollow/limits/limiter.py
+++ b/medlarhollow/limits/limiter.py
@@ -20,7 +20,7 @@
 from .sources import list_sources
 from .wallet import Wallet
 
-__all__ = ["Limiter"]
+__all__ = ["DEMAND_PERIOD_S", "Limiter"]
 
 _LOG = logging.getLogger(__name__)
 # Several round trips between regions (40 ms each), one of them to connect.
@@ -39,7 +39,8 @@
 # unspent tokens are given back.
 _SETTLE_PART = 0.1
 _GIVE_BACK_PART = 0.35
-_DEMAND_PERIOD_S = 1.0
+# Time that one sample of demand covers.
+DEMAND_PERIOD_S = 1.0
 
 
 @attrs.define
@@ -165,7 +166,7 @@
             so that the samples of one second can be added up over VMs.
         """
         elapsed_s = now - self._demands_at
-        if elapsed_s < _DEMAND_PERIOD_S:
+        if elapsed_s < DEMAND_PERIOD_S:
             return ()
         self._demands_at = now
         samples = []
--- a/medlarhollow/messages/records.py
+++ b/medlarhollow/messages/records.py
@@ -257,6 +257,7 @@
     stepped_at_s: float = 0.0
     state: MoveState = MoveState(0)
     reason: str = ""
+    ended_at_s: float = 0.0
 
 
 @attrs.frozen
@@ -436,7 +437,7 @@
 
 @attrs.frozen
 class PutClientBlocks:
-    """Record of PutClientBlocks."""
+    """Sets the region of each block; an empty region removes the block."""
 
     blocks: "tuple[ClientBlock, ...]" = ()
 
@@ -479,7 +480,7 @@
 
 @attrs.frozen
 class SetShares:
-    """Record of SetShares."""
+    """An empty share that is set empty again is removed."""
 
     shares: "tuple[Share, ...]" = ()
 
@@ -651,6 +652,7 @@
     last_index: int = 0
     last_term: int = 0
     pre_vote: bool = False
+    voter_incarnation: str = ""
 
 
 @attrs.frozen
@@ -739,6 +741,7 @@
     revision: int = 0
     freshness_age_s: float = 0.0
     replicas: "ReplicaSet | None" = None
+    cluster: str = ""
 
 
 @attrs.frozen
@@ -812,6 +815,7 @@
     snapshot: "StateSnapshot | None" = None
     commits: "tuple[Commit, ...]" = ()
     failure: "Failure | None" = None
+    held_s: float = 0.0
 
 
 @attrs.frozen
