--- a/medlarhollow/daemon/process.py
+++ b/medlarhollow/daemon/process.py
@@ -32,7 +32,7 @@
 from ..messages.records import Vm
 from ..messages.records import VmReport
 from ..messages.records import VmState
-from ..moves import SampleCounter
+from ..moves import VersionSelector
 from ..steering import Dispatcher
 from ..telemetry import Telemetry
 from ..transport import Channels
@@ -95,8 +95,13 @@
             self._allocator,
             self._incarnation,
         )
+        self._samples = VersionSelector(settings, self._copy)
         self._dispatcher = Dispatcher(
-            settings, self._copy, self._directory, self._channels
+            settings,
+            self._copy,
+            self._directory,
+            self._channels,
+            self._samples,
         )
         self._exchange = Exchange(
             settings,
@@ -106,7 +111,6 @@
             self._own_vm,
             self._dispatcher.own_load,
         )
-        self._samples = SampleCounter(settings)
         self._replica = None
         if "control" in settings.vm.roles:
             self._replica = Replica(settings, self._channels)
--- a/medlarhollow/entry/answers.py
+++ b/medlarhollow/entry/answers.py
@@ -1,6 +1,7 @@
 """Answers that the entry VM makes itself."""
 
 import json
+import time
 
 import attrs
 from starlette.responses import JSONResponse
@@ -8,7 +9,6 @@
 from ..errors import response_of
 from ..membership import list_entry_vms
 from ..messages.records import ErrorKind
-from ..messages.records import VmState
 from .headers import OUTCOME_HEADER
 from .headers import REPLAY_HEADER
 
@@ -130,29 +130,42 @@
     return attrs.evolve(answer, headers=(*answer.headers, *cookies))
 
 
-def serving_vms(vm):
+def serving_vms(vm, spread=0, count=None):
     """Return the entry VMs that a caller may use, nearest first.
 
     Parameters
     ----------
     vm : EntryVm
-        Holds the roster.
+        Holds the roster and hears the VMs of its data centre.
+    spread : int
+        Hash of the caller, by which callers are spread over VMs.
+    count : int or None
+        Greatest number of VMs; None for all.
 
     Returns
     -------
     list of Vm
-        Serving VMs, without this one while it drains.
+        Serving VMs that are alive, without this one while it drains.
     """
-    listed = list_entry_vms(vm.copy.state, vm.settings)
-    others = sorted(vm.copy.state.vms.values(), key=lambda other: other.name)
-    listed += [other for other in others if other not in listed]
+    now = time.monotonic()
+    peers = vm.directory.peers
     own = vm.settings.vm.name
-    return [
-        entry
-        for entry in listed
-        if entry.state is VmState.SERVING
-        and not (vm.drain.draining and entry.name == own)
-    ]
+
+    def takes_callers(entry):
+        if entry.name == own:
+            return not vm.drain.draining
+        return peers.takes_callers(entry, now)
+
+    state = vm.copy.state
+    if count is None:
+        count = len(state.vms)
+    return list_entry_vms(
+        state,
+        vm.settings,
+        takes_callers=takes_callers,
+        spread=spread,
+        count=count,
+    )
 
 
 def describe_vm(entry):
--- a/medlarhollow/entry/callers.py
+++ b/medlarhollow/entry/callers.py
@@ -1,5 +1,7 @@
 """Front door for callers: look-ups and requests."""
 
+import zlib
+
 from starlette.applications import Starlette
 from starlette.responses import JSONResponse
 from starlette.routing import Mount
@@ -43,7 +45,9 @@
             failure = fail(ErrorKind.NOT_FOUND, "no such service")
             return answer_failure(failure.err_value)
         entry = vm.settings.entry
-        listed = serving_vms(vm)[: entry.lookup_count]
+        caller = request.client.host if request.client else ""
+        spread = zlib.crc32(caller.encode())
+        listed = serving_vms(vm, spread, entry.lookup_count)
         return JSONResponse(
             {
                 "entry_vms": [describe_vm(each) for each in listed],
--- a/medlarhollow/entry/tests/stand_ins.py
+++ b/medlarhollow/entry/tests/stand_ins.py
@@ -17,6 +17,7 @@
 from medlarhollow.entry import make_caller_app
 from medlarhollow.errors import fail
 from medlarhollow.localfleet.ports import free_addresses
+from medlarhollow.membership import Directory
 from medlarhollow.messages.records import BackendServer
 from medlarhollow.messages.records import ErrorKind
 from medlarhollow.messages.records import Route
@@ -287,7 +288,7 @@
             self.vm = EntryVm(
                 settings=self.settings,
                 copy=self.copy,
-                directory=None,
+                directory=Directory(self.settings),
                 limiter=self.limiter,
                 dispatcher=self.dispatcher,
                 samples=self.samples,
--- a/medlarhollow/steering/dispatcher.py
+++ b/medlarhollow/steering/dispatcher.py
@@ -13,7 +13,7 @@
 from ..messages.records import BackendServer
 from ..messages.records import CreditResponse
 from ..messages.records import ErrorKind
-from ..moves import choose_version
+from ..moves import VersionSelector
 from .assignment import Assignment
 from .assignment import AttemptResult
 from .choice import choose_server
@@ -45,9 +45,12 @@
         Backend servers of the data centre.
     channels : Channels
         Connections to VMs of other data centres.
+    versions : VersionSelector or None
+        Chooses versions; None for one of its own.
     """
 
-    def __init__(self, settings, copy, directory, channels):
+    def __init__(self, settings, copy, directory, channels, versions=None):
+        self._versions = versions or VersionSelector(settings, copy)
         self._settings = settings
         self._copy = copy
         self._directory = directory
@@ -209,7 +212,7 @@
         never the other way round: that would exceed the part of a move.
         """
         service = demand.route.service
-        version = choose_version(self._copy.state, service, demand.point)
+        version = self._versions.choose(service, demand.point, now)
         in_force = self._copy.state.services[service].version
         if version != in_force and not self._directory.servers(
             service, version, now
