--- a/medlarhollow/steering/dispatcher.py
+++ b/medlarhollow/steering/dispatcher.py
@@ -50,10 +50,10 @@
     """
 
     def __init__(self, settings, copy, directory, channels, versions=None):
-        self._versions = versions or VersionSelector(settings, copy)
         self._settings = settings
         self._copy = copy
         self._directory = directory
+        self._versions = versions or VersionSelector(settings, copy)
         self._pools = {}
         self._slots = Slots(settings, directory)
         self._spill = Spill(settings, copy, channels)
