--- a/medlarhollow/entry/answers.py
+++ b/medlarhollow/entry/answers.py
@@ -2,7 +2,11 @@
 
 import heapq
 import json
+<<<<<<< HEAD
 import random
+=======
+import time
+>>>>>>> limits
 
 import attrs
 from starlette.responses import JSONResponse
@@ -10,7 +14,6 @@
 from ..errors import response_of
 from ..membership import list_entry_vms
 from ..messages.records import ErrorKind
-from ..messages.records import VmState
 from .headers import OUTCOME_HEADER
 from .headers import REPLAY_HEADER
 
@@ -130,17 +133,27 @@
     return attrs.evolve(answer, headers=(*answer.headers, *cookies))
 
 
+<<<<<<< HEAD
 def serving_vms(vm):
     """Return the entry VMs that a caller should try, in order.
+=======
+def serving_vms(vm, spread=0, count=None):
+    """Return the entry VMs that a caller may use, nearest first.
+>>>>>>> limits
 
     Parameters
     ----------
     vm : EntryVm
-        Holds the roster.
+        Holds the roster and hears the VMs of its data centre.
+    spread : int
+        Hash of the caller, by which callers are spread over VMs.
+    count : int or None
+        Greatest number of VMs; None for all.
 
     Returns
     -------
     list of Vm
+<<<<<<< HEAD
         As listed for look-ups, without this one while it drains.
     """
     own = vm.settings.vm.name
@@ -149,6 +162,29 @@
         for entry in list_entry_vms(vm.copy.state, vm.settings)
         if not (vm.drain.draining and entry.name == own)
     ]
+=======
+        Serving VMs that are alive, without this one while it drains.
+    """
+    now = time.monotonic()
+    peers = vm.directory.peers
+    own = vm.settings.vm.name
+
+    def takes_callers(entry):
+        if entry.name == own:
+            return not vm.drain.draining
+        return peers.takes_callers(entry, now)
+
+    state = vm.copy.state
+    if count is None:
+        count = len(state.vms)
+    return list_entry_vms(
+        state,
+        vm.settings,
+        takes_callers=takes_callers,
+        spread=spread,
+        count=count,
+    )
+>>>>>>> limits
 
 
 def list_elsewhere(vm):
--- a/medlarhollow/membership/lookup.py
+++ b/medlarhollow/membership/lookup.py
@@ -9,7 +9,12 @@
 
 
 def list_entry_vms(
-    state, settings, caller_region="", takes_callers=None, spread=0
+    state,
+    settings,
+    caller_region="",
+    takes_callers=None,
+    spread=0,
+    count=None,
 ):
     """Return entry VMs in the order in which a caller should try them.
 
@@ -26,6 +31,8 @@
     spread : int
         Hash of the caller; callers are spread by it over VMs of equal rank
         and over regions by weight.
+    count : int or None
+        Greatest number of VMs; None for that of the settings.
 
     Returns
     -------
@@ -62,7 +69,9 @@
         group = groups[place]
         start = spread % len(group)
         ordered += group[start:] + group[:start]
-    return _keep_alternative(ordered, settings.entry.lookup_count)
+    if count is None:
+        count = settings.entry.lookup_count
+    return _keep_alternative(ordered, count)
 
 
 def _rank_regions(state, caller_region, spread):
--- a/medlarhollow/steering/tests/test_dispatcher.py
+++ b/medlarhollow/steering/tests/test_dispatcher.py
@@ -70,8 +70,9 @@
         )
         self.directory = Directory(self.settings)
         self.channels = Channels(self.settings)
+        copy = StandInCopy(state, proof_at=time.monotonic())
         self.dispatcher = Dispatcher(
-            self.settings, StandInCopy(state), self.directory, self.channels
+            self.settings, copy, self.directory, self.channels
         )
         self.service = CreditService(self.dispatcher)
         self.server = PeerServer(self.settings, [self.service])
@@ -305,6 +306,7 @@
         from_version="1",
         to_version="2",
         fraction=1.0,
+        deadline_s=time.time() + 3600,
     )
     state_of(near).revision += 1
     near.dispatcher._copy.proof_at = time.monotonic()
