--- a/medlarhollow/entry/answers.py
+++ b/medlarhollow/entry/answers.py
@@ -2,11 +2,8 @@
 
 import heapq
 import json
-<<<<<<< HEAD
 import random
-=======
 import time
->>>>>>> limits
 
 import attrs
 from starlette.responses import JSONResponse
@@ -133,13 +130,8 @@
     return attrs.evolve(answer, headers=(*answer.headers, *cookies))
 
 
-<<<<<<< HEAD
-def serving_vms(vm):
-    """Return the entry VMs that a caller should try, in order.
-=======
 def serving_vms(vm, spread=0, count=None):
     """Return the entry VMs that a caller may use, nearest first.
->>>>>>> limits
 
     Parameters
     ----------
@@ -153,16 +145,6 @@
     Returns
     -------
     list of Vm
-<<<<<<< HEAD
-        As listed for look-ups, without this one while it drains.
-    """
-    own = vm.settings.vm.name
-    return [
-        entry
-        for entry in list_entry_vms(vm.copy.state, vm.settings)
-        if not (vm.drain.draining and entry.name == own)
-    ]
-=======
         Serving VMs that are alive, without this one while it drains.
     """
     now = time.monotonic()
@@ -184,7 +166,6 @@
         spread=spread,
         count=count,
     )
->>>>>>> limits
 
 
 def list_elsewhere(vm):
--- a/medlarhollow/entry/callers.py
+++ b/medlarhollow/entry/callers.py
@@ -45,15 +45,12 @@
             failure = fail(ErrorKind.NOT_FOUND, "no such service")
             return answer_failure(failure.err_value)
         entry = vm.settings.entry
-<<<<<<< HEAD
-=======
         caller = request.client.host if request.client else ""
         spread = zlib.crc32(caller.encode())
         listed = serving_vms(vm, spread, entry.lookup_count)
->>>>>>> limits
         return JSONResponse(
             {
-                "entry_vms": [describe_vm(each) for each in serving_vms(vm)],
+                "entry_vms": [describe_vm(each) for each in listed],
                 "ttl_s": entry.lookup_ttl_s,
             },
             headers={"cache-control": f"max-age={entry.lookup_ttl_s:g}"},
