--- a/medlarhollow/daemon/process.py
+++ b/medlarhollow/daemon/process.py
@@ -288,13 +288,17 @@
         own = self._settings
         if "entry" in own.vm.roles:
             vm = self._entry_vm(client)
-            yield HttpServer(make_caller_app(vm), own.entry.listen, own)
-            yield HttpServer(
-                make_announce_app(vm), own.entry.announce_listen, own
+            yield self._front_door(make_caller_app(vm), own.entry.listen)
+            yield self._front_door(
+                make_announce_app(vm), own.entry.announce_listen
             )
         if self._replica is not None:
             admin = FleetAdmin(
                 own, self._replica, self._channels, self._reports
             )
             app = make_admin_app(admin, Operators(own))
-            yield HttpServer(app, own.admin.listen, own)
+            yield self._front_door(app, own.admin.listen)
+
+    def _front_door(self, app, address):
+        entry = self._settings.entry
+        return HttpServer(app, address, entry.drain_limit_s, entry)
