--- a/medlarhollow/entry/answers.py
+++ b/medlarhollow/entry/answers.py
@@ -11,6 +11,7 @@
 from ..errors import response_of
 from ..membership import list_entry_vms
 from ..messages.records import ErrorKind
+from ..messages.records import VmState
 from .headers import OUTCOME_HEADER
 from .headers import REPLAY_HEADER
 
