--- a/medlarhollow/admin/app.py
+++ b/medlarhollow/admin/app.py
@@ -67,7 +67,8 @@
         order = await _read(operation, operators, request)
         if order.is_err():
             return answer_failure(order.err_value)
-        await admin.catch_up()
+        if not operation.is_change:
+            await admin.catch_up()
         result = await operation.run(admin, order.ok_value)
         if result.is_err():
             return answer_failure(result.err_value)
--- /dev/null
+++ b/medlarhollow/distribution/tests/test_reconsider.py
@@ -0,0 +1,70 @@
+"""Changes of upstream."""
+
+import asyncio
+import time
+from types import SimpleNamespace
+
+import pytest
+
+from medlarhollow.daemon.fleet_service import FleetService
+from medlarhollow.distribution import FleetCopy
+from medlarhollow.distribution import Reports
+from medlarhollow.distribution.follow import _follow_one
+from medlarhollow.distribution.follow import _Follower
+from medlarhollow.localfleet.ports import free_addresses
+from medlarhollow.messages.records import SyncResponse
+from medlarhollow.messages.records import Vm
+from medlarhollow.messages.records import VmReport
+from medlarhollow.settings.load import parse_settings
+from medlarhollow.transport import Channels
+from medlarhollow.transport import PeerServer
+
+SETTINGS = """
+[vm]
+name = vm-1
+cluster = test
+region = north
+data_centre = north-a
+[peer]
+listen = {address}
+secret_file = {secret}
+[control]
+replicas = {address}
+"""
+
+
+@pytest.mark.parametrize(("leads_at_once"), [True, False])
+async def test_upstream_is_left_without_an_error(tmp_path, leads_at_once):
+    """Guards against a daemon that ends with an error of the stream when it
+    leaves an upstream, in use or not yet, over a real connection."""
+    secret = tmp_path / "secret"
+    secret.write_text("s" * 64)
+    (address,) = free_addresses(1)
+    settings = parse_settings(SETTINGS.format(address=address, secret=secret))
+    upstream = FleetCopy(settings)
+    await upstream.take(
+        SyncResponse(cluster="test", freshness_age_s=0.0), time.monotonic()
+    )
+    service = FleetService(
+        settings, lambda: upstream, Reports(), None, None, None
+    )
+    server = PeerServer(settings, [service])
+    await server.start()
+    channels = Channels(settings)
+    replica = SimpleNamespace(is_leader=leads_at_once, leader_address="")
+    vm = _Follower(
+        FleetCopy(settings),
+        channels,
+        Reports(),
+        lambda now: VmReport(vm=Vm(name="vm-1")),
+        settings,
+        replica,
+    )
+    loop = asyncio.get_running_loop()
+    loop.call_later(0.2, setattr, replica, "is_leader", True)
+    try:
+        async with asyncio.timeout(5):
+            assert await _follow_one(vm, address) is not leads_at_once
+    finally:
+        channels.close()
+        await server.stop()
--- a/medlarhollow/entry/answers.py
+++ b/medlarhollow/entry/answers.py
@@ -3,6 +3,8 @@
 import heapq
 import json
 import random
+import time
+import zlib
 
 import attrs
 from starlette.responses import JSONResponse
@@ -130,25 +132,36 @@
     return attrs.evolve(answer, headers=(*answer.headers, *cookies))
 
 
-def serving_vms(vm):
+def serving_vms(vm, caller=""):
     """Return the entry VMs that a caller should try, in order.
 
     Parameters
     ----------
     vm : EntryVm
         Holds the roster.
+    caller : str
+        Address of the caller, by which callers are spread over the VMs.
 
     Returns
     -------
     list of Vm
-        As listed for look-ups, without this one while it drains.
+        As listed for look-ups, without VMs that are known to be silent and
+        without this one while it drains.
     """
+    now = time.monotonic()
     own = vm.settings.vm.name
-    return [
-        entry
-        for entry in list_entry_vms(vm.copy.state, vm.settings)
-        if not (vm.drain.draining and entry.name == own)
-    ]
+
+    def takes_callers(entry):
+        if entry.name == own:
+            return not vm.drain.draining
+        return vm.directory.peers.takes_callers(entry, now)
+
+    return list_entry_vms(
+        vm.copy.state,
+        vm.settings,
+        takes_callers=takes_callers,
+        spread=zlib.crc32(caller.encode()),
+    )
 
 
 def list_elsewhere(vm):
--- a/medlarhollow/entry/callers.py
+++ b/medlarhollow/entry/callers.py
@@ -43,9 +43,11 @@
             failure = fail(ErrorKind.NOT_FOUND, "no such service")
             return answer_failure(failure.err_value)
         entry = vm.settings.entry
+        caller = request.client.host if request.client else ""
+        listed = serving_vms(vm, caller)
         return JSONResponse(
             {
-                "entry_vms": [describe_vm(each) for each in serving_vms(vm)],
+                "entry_vms": [describe_vm(each) for each in listed],
                 "ttl_s": entry.lookup_ttl_s,
             },
             headers={"cache-control": f"max-age={entry.lookup_ttl_s:g}"},
