--- a/medlarhollow/entry/answers.py
+++ b/medlarhollow/entry/answers.py
@@ -4,7 +4,6 @@
 import json
 import random
 import time
-import zlib
 
 import attrs
 from starlette.responses import JSONResponse
@@ -85,7 +84,8 @@
     if failure.kind is ErrorKind.STALE_AUTHORITY:
         body["entry_vms"] = [describe_vm(each) for each in list_elsewhere(vm)]
     elif failure.kind is ErrorKind.DRAINING:
-        body["entry_vms"] = [describe_vm(each) for each in serving_vms(vm)]
+        listed = serving_vms(vm, count=vm.settings.entry.lookup_count)
+        body["entry_vms"] = [describe_vm(each) for each in listed]
     headers["content-type"] = "application/json"
     return _whole(status, headers, json.dumps(body).encode())
 
@@ -132,35 +132,41 @@
     return attrs.evolve(answer, headers=(*answer.headers, *cookies))
 
 
-def serving_vms(vm, caller=""):
-    """Return the entry VMs that a caller should try, in order.
+def serving_vms(vm, spread=0, count=None):
+    """Return the entry VMs that a caller may use, nearest first.
 
     Parameters
     ----------
     vm : EntryVm
-        Holds the roster.
-    caller : str
-        Address of the caller, by which callers are spread over the VMs.
+        Holds the roster and hears the VMs of its data centre.
+    spread : int
+        Hash of the caller, by which callers are spread over VMs.
+    count : int or None
+        Greatest number of VMs; None for all.
 
     Returns
     -------
     list of Vm
-        As listed for look-ups, without VMs that are known to be silent and
-        without this one while it drains.
+        Serving VMs that are alive, without this one while it drains.
     """
     now = time.monotonic()
+    peers = vm.directory.peers
     own = vm.settings.vm.name
 
     def takes_callers(entry):
         if entry.name == own:
             return not vm.drain.draining
-        return vm.directory.peers.takes_callers(entry, now)
+        return peers.takes_callers(entry, now)
 
+    state = vm.copy.state
+    if count is None:
+        count = len(state.vms)
     return list_entry_vms(
-        vm.copy.state,
+        state,
         vm.settings,
         takes_callers=takes_callers,
-        spread=zlib.crc32(caller.encode()),
+        spread=spread,
+        count=count,
     )
 
 
