--- a/medlarhollow/entry/answers.py
+++ b/medlarhollow/entry/answers.py
@@ -84,7 +84,8 @@
     if failure.kind is ErrorKind.STALE_AUTHORITY:
         body["entry_vms"] = [describe_vm(each) for each in list_elsewhere(vm)]
     elif failure.kind is ErrorKind.DRAINING:
-        body["entry_vms"] = [describe_vm(each) for each in serving_vms(vm)]
+        listed = serving_vms(vm, count=vm.settings.entry.lookup_count)
+        body["entry_vms"] = [describe_vm(each) for each in listed]
     headers["content-type"] = "application/json"
     return _whole(status, headers, json.dumps(body).encode())
 
