Trace the request path; order look-ups by the caller's region

Cause: the entry VM made no spans and counted no requests; look-ups did not know the caller's region and sorted the whole roster each time.

Change: one span for each hop (request, token, queue, claim, backend server), counts by outcome; a table of client blocks built in a thread; entry VMs grouped once for each revision, and the preset's weights worked out once for each step of a shift. IPv6 blocks longer than 64 bits are refused, since the table cannot hold them.

--- a/medlarhollow/configuration/network.py
+++ b/medlarhollow/configuration/network.py
@@ -15,6 +15,9 @@
 
 __all__ = []
 
+# The table of blocks keeps the upper half of IPv6 addresses.
+_LONGEST_IPV6_PREFIX = 64
+
 
 @apply.register
 def _put_client_blocks(change: PutClientBlocks, state, now):
@@ -22,7 +25,7 @@
     blocks = {}
     for block in change.blocks:
         try:
-            prefix = str(ipaddress.ip_network(block.prefix))
+            prefix = _parse_prefix(block.prefix)
         except ValueError as error:
             return fail(
                 ErrorKind.BAD_REQUEST,
@@ -44,6 +47,7 @@
         blocks[prefix] = attrs.evolve(block, prefix=prefix)
     if not blocks:
         return fail(ErrorKind.BAD_REQUEST, "at least one block is needed")
+    state.blocks_revision = state.revision + 1
     for prefix, block in blocks.items():
         if block.region:
             state.client_blocks[prefix] = block
@@ -52,6 +56,13 @@
     return Ok(None)
 
 
+def _parse_prefix(text):
+    network = ipaddress.ip_network(text)
+    if network.version == 6 and network.prefixlen > _LONGEST_IPV6_PREFIX:
+        raise ValueError("at most 64 bits of an IPv6 prefix are allowed")
+    return str(network)
+
+
 @apply.register
 def _put_link(change: PutLink, state, now):
     link = change.link
--- a/medlarhollow/configuration/state.py
+++ b/medlarhollow/configuration/state.py
@@ -32,6 +32,8 @@
         Links by (from region, to region).
     shares : dict
         Shares by (account, data centre).
+    blocks_revision : int
+        Revision of the last change of client blocks, or of the snapshot.
     longest_stale_keys_s : float
         Largest `stale_keys_s` that a route ever had, in seconds. It never
         falls, since a VM that is cut off may still hold the route as it was.
@@ -43,6 +45,7 @@
     revision: int = 0
     operator_revision: int = 0
     time_s: float = 0.0
+    blocks_revision: int = attrs.field(default=0, eq=False)
     longest_stale_keys_s: float = 0.0
     accounts: dict = attrs.field(factory=dict)
     keys: dict = attrs.field(factory=dict)
@@ -97,6 +100,7 @@
             revision=snapshot.revision,
             operator_revision=snapshot.operator_revision,
             time_s=snapshot.time_s,
+            blocks_revision=snapshot.revision,
             longest_stale_keys_s=snapshot.longest_stale_keys_s,
             shift=snapshot.shift,
         )
--- a/medlarhollow/daemon/process.py
+++ b/medlarhollow/daemon/process.py
@@ -33,6 +33,7 @@
 from ..messages.records import VmReport
 from ..messages.records import VmState
 from ..moves import VersionSelector
+from ..steering import CallerRegions
 from ..steering import Dispatcher
 from ..telemetry import Telemetry
 from ..transport import Channels
@@ -111,6 +112,7 @@
             self._own_vm,
             self._dispatcher.own_load,
         )
+        self._regions = CallerRegions(self._copy)
         self._replica = None
         if "control" in settings.vm.roles:
             self._replica = Replica(settings, self._channels)
@@ -192,6 +194,7 @@
             yield self._exchange.run()
             yield self._dispatcher.run()
             yield self._report_samples()
+            yield self._regions.run()
         if self._replica is not None:
             duties = Duties(self._settings, self._replica, self._reports)
             yield duties.run()
@@ -280,14 +283,17 @@
             samples=self._samples,
             control=ControlClient(own, self._channels),
             client=client,
+            telemetry=self._telemetry,
             secret=read_secret(own.peer),
             drain=self._drain,
+            regions=self._regions,
         )
 
     def _front_doors(self, client):
         own = self._settings
         if "entry" in own.vm.roles:
             vm = self._entry_vm(client)
+            self._telemetry.observe("queue_length", lambda: vm.waiting)
             yield self._front_door(make_caller_app(vm), own.entry.listen)
             yield self._front_door(
                 make_announce_app(vm), own.entry.announce_listen
--- a/medlarhollow/entry/answers.py
+++ b/medlarhollow/entry/answers.py
@@ -9,7 +9,6 @@
 from starlette.responses import JSONResponse
 
 from ..errors import response_of
-from ..membership import list_entry_vms
 from ..messages.records import ErrorKind
 from ..messages.records import VmState
 from .headers import OUTCOME_HEADER
@@ -132,7 +131,7 @@
     return attrs.evolve(answer, headers=(*answer.headers, *cookies))
 
 
-def serving_vms(vm, spread=0, count=None):
+def serving_vms(vm, spread=0, count=None, caller_region=""):
     """Return the entry VMs that a caller may use, nearest first.
 
     Parameters
@@ -143,6 +142,8 @@
         Hash of the caller, by which callers are spread over VMs.
     count : int or None
         Greatest number of VMs; None for all.
+    caller_region : str
+        Region of the caller, if known.
 
     Returns
     -------
@@ -161,9 +162,9 @@
     state = vm.copy.state
     if count is None:
         count = len(state.vms)
-    return list_entry_vms(
+    return vm.lookups.list(
         state,
-        vm.settings,
+        caller_region,
         takes_callers=takes_callers,
         spread=spread,
         count=count,
--- a/medlarhollow/entry/attempts.py
+++ b/medlarhollow/entry/attempts.py
@@ -138,7 +138,8 @@
     demand = attrs.evolve(admission.demand, excluded=run.excluded)
     if deadline_at is not None:
         demand = attrs.evolve(demand, deadline_at=deadline_at)
-    assigned = await vm.wait_in_queue(vm.dispatcher.acquire(demand))
+    with vm.telemetry.span("entry.queue"):
+        assigned = await vm.wait_in_queue(vm.dispatcher.acquire(demand))
     if assigned.is_err():
         return assigned
     return Ok(Slot(vm, demand.route, assigned.ok_value))
@@ -182,7 +183,8 @@
     slot.begin()
     before = run.sent
     run.sent = True
-    answer = await _wait_for_head(vm, caller, admission, run, slot)
+    with vm.telemetry.span("entry.backend", server=slot.server_id):
+        answer = await _wait_for_head(vm, caller, admission, run, slot)
     if isinstance(answer, NotSent | Unanswered):
         slot.finish(answer)
         run.sent = before or may_have_run(answer)
@@ -311,6 +313,11 @@
         (REQUEST_ID_HEADER, admission.request_id),
         (DEADLINE_HEADER, format_remaining(deadline_at, time.monotonic())),
     ]
+    trace = {}
+    vm.telemetry.inject(trace)
+    if trace:
+        headers = [pair for pair in headers if pair[0].lower() not in trace]
+        headers += trace.items()
     if slot.remote:
         headers += [
             (SECRET_HEADER, vm.secret),
--- a/medlarhollow/entry/callers.py
+++ b/medlarhollow/entry/callers.py
@@ -47,7 +47,9 @@
         entry = vm.settings.entry
         caller = request.client.host if request.client else ""
         spread = zlib.crc32(caller.encode())
-        listed = serving_vms(vm, spread, entry.lookup_count)
+        listed = serving_vms(
+            vm, spread, entry.lookup_count, vm.regions.find(caller)
+        )
         return JSONResponse(
             {
                 "entry_vms": [describe_vm(each) for each in listed],
--- a/medlarhollow/entry/proxy.py
+++ b/medlarhollow/entry/proxy.py
@@ -25,6 +25,7 @@
 # A refusal waits this long for the release of its claim, so that a resend
 # that follows it finds the key free.
 _RELEASE_WAIT_S = 1.0
+_SERVED = "ok"
 
 
 class Proxy:
@@ -42,39 +43,61 @@
     async def __call__(self, scope, receive, send):
         """Serve one request in the task of its connection."""
         caller = Caller(scope, receive, send, self._vm.settings)
-        admitted = admit(self._vm, caller, time.monotonic())
-        if admitted.is_err():
-            await self._answer_failure(caller, admitted.err_value)
-            return
+        telemetry = self._vm.telemetry
+        with telemetry.request_span(
+            "entry.request", caller.headers, path=caller.path
+        ) as span:
+            now = time.monotonic()
+            admitted = admit(self._vm, caller, now)
+            if admitted.is_err():
+                await self._answer_failure(caller, admitted.err_value)
+                return
+            outcome = await self._watch(caller, admitted.ok_value)
+            span.set("outcome", outcome)
+        demand = admitted.ok_value.demand
+        telemetry.count_request(
+            demand.route.service,
+            demand.route.path_prefix,
+            demand.account,
+            outcome,
+            time.monotonic() - now,
+        )
+
+    async def _watch(self, caller, admission):
+        """Serve until the caller leaves; return what became of it."""
+        outcome = "cut"
         try:
             async with asyncio.TaskGroup() as group:
                 watcher = group.create_task(caller.watch())
-                await self._serve(caller, admitted.ok_value)
+                outcome = await self._serve(caller, admission)
                 watcher.cancel()
         except* CallerGoneError:
+            outcome = "abandoned"
             _LOG.debug("entry: a caller left")
             await caller.abort()
         except* CutAnswerError as cut:
             _LOG.info("entry: answer cut: %s", cut.exceptions[0])
             await caller.abort()
+        return outcome
 
     async def _serve(self, caller, admission):
         vm = self._vm
         vm.budget.count_request()
         demand = admission.demand
         if demand.account and not admission.forwarded:
-            token = await vm.wait_in_queue(
-                vm.limiter.admit(demand.account, demand.deadline_at)
-            )
+            with vm.telemetry.span("entry.token"):
+                token = await vm.wait_in_queue(
+                    vm.limiter.admit(demand.account, demand.deadline_at)
+                )
             if token.is_err():
-                await self._answer_failure(caller, token.err_value)
-                return
+                vm.telemetry.count_refused(demand.account)
+                return await self._answer_failure(caller, token.err_value)
         if admission.idempotency_key:
-            await self._serve_claimed(caller, admission)
-            return
+            return await self._serve_claimed(caller, admission)
         result = await serve_attempts(vm, caller, admission, Run())
         if result.is_err():
-            await self._answer_failure(caller, result.err_value)
+            return await self._answer_failure(caller, result.err_value)
+        return _SERVED
 
     async def _serve_claimed(self, caller, admission):
         """Serve in a task that ends even if the caller leaves.
@@ -85,7 +108,7 @@
         run = Run()
         work = self._vm.drain.serve(self._claim(caller, admission, run))
         try:
-            await asyncio.shield(work)
+            return await asyncio.shield(work)
         except asyncio.CancelledError:
             if not run.sent:
                 work.cancel()
@@ -100,8 +123,7 @@
                 ErrorKind.TOO_LARGE,
                 "a Content-Length is needed for a body of this size",
             )
-            await self._answer_failure(caller, failure.err_value)
-            return
+            return await self._answer_failure(caller, failure.err_value)
         holder = ClaimHolder(
             vm,
             demand.account,
@@ -110,7 +132,8 @@
         )
 
         async def prepare():
-            taken = await holder.take(demand.deadline_at)
+            with vm.telemetry.span("entry.claim"):
+                taken = await holder.take(demand.deadline_at)
             if taken == Ok(None):
                 run.claim = holder
             return taken
@@ -124,9 +147,11 @@
         if result.is_err():
             if run.claim is not None and not run.sent:
                 await asyncio.wait({holder.release()}, timeout=_RELEASE_WAIT_S)
-            await self._answer_failure(caller, result.err_value)
-        elif result.ok_value is not None:
+            return await self._answer_failure(caller, result.err_value)
+        if result.ok_value is not None:
             await caller.answer(make_replay(result.ok_value))
+        return _SERVED
 
     async def _answer_failure(self, caller, failure):
         await caller.answer(make_failure_answer(failure, self._vm))
+        return failure.kind.name.lower()
--- a/medlarhollow/entry/tests/stand_ins.py
+++ b/medlarhollow/entry/tests/stand_ins.py
@@ -26,6 +26,7 @@
 from medlarhollow.requests import ClaimLedger
 from medlarhollow.settings.load import parse_settings
 from medlarhollow.steering import Assignment
+from medlarhollow.telemetry import Telemetry
 
 SECRET = "fleet-secret-of-the-tests"
 
@@ -248,6 +249,7 @@
         self.dispatcher = FakeDispatcher()
         self.limiter = FakeLimiter()
         self.samples = FakeSamples()
+        self.telemetry = Telemetry(self.settings)
         self.key, record = new_key("crew")
         self.copy.state.keys[record.key_id] = record
         self.copy.state.services["plots"] = Service("plots", version="1")
@@ -294,6 +296,7 @@
                 samples=self.samples,
                 control=self.control,
                 client=client,
+                telemetry=self.telemetry,
                 secret=SECRET,
             )
             self.server = HttpServer(
--- a/medlarhollow/entry/tests/test_keys.py
+++ b/medlarhollow/entry/tests/test_keys.py
@@ -298,5 +298,6 @@
         assert headers["connection"] == "close"
         vms = front.copy.state.vms
         vms["b-1"] = attrs.evolve(vms["b-1"], state=1)
+        front.copy.state.revision += 1
         _, _, body = await front.call("/v1/lookup?service=plots")
         assert json.loads(body)["entry_vms"] == []
--- /dev/null
+++ b/medlarhollow/entry/tests/test_traces.py
@@ -0,0 +1,47 @@
+"""Spans and counts of the request path."""
+
+import json
+
+import attrs
+
+from medlarhollow.telemetry import Telemetry
+
+from .stand_ins import answer
+from .stand_ins import Backend
+from .stand_ins import Front
+from .stand_ins import make_idempotency_key
+
+
+async def test_every_hop_of_an_order_has_a_span(tmp_path):
+    """Guards against a hop that operators cannot see, and against a key in
+    what is exported."""
+    path = tmp_path / "telemetry.jsonl"
+    front = Front()
+    own = attrs.evolve(
+        front.settings.telemetry,
+        export="file",
+        export_file=str(path),
+        trace_sample=1.0,
+    )
+    front.telemetry = Telemetry(attrs.evolve(front.settings, telemetry=own))
+    async with front.run(Backend(answer())):
+        headers = {"idempotency-key": make_idempotency_key()}
+        status, _, _ = await front.call(
+            "/orders", "POST", data=b"x", headers=headers
+        )
+        assert status == 200
+    front.telemetry.stop()
+    text = path.read_text()
+    lines = [json.loads(line) for line in text.splitlines()]
+    spans = {line["name"]: line for line in lines if "context" in line}
+    assert set(spans) >= {
+        "entry.request",
+        "entry.token",
+        "entry.queue",
+        "entry.claim",
+        "entry.backend",
+    }
+    assert len({span["context"]["trace_id"] for span in spans.values()}) == 1
+    assert front.key not in text
+    assert "requests" in text
+    assert "crew" in text
--- a/medlarhollow/entry/vm.py
+++ b/medlarhollow/entry/vm.py
@@ -6,11 +6,14 @@
 from ..errors import fail
 from ..limits import Limiter
 from ..membership import Directory
+from ..membership import LookupOrder
 from ..messages.records import ErrorKind
 from ..moves import VersionSelector
 from ..requests import RetryBudget
 from ..settings import Settings
+from ..steering import CallerRegions
 from ..steering import Dispatcher
+from ..telemetry import Telemetry
 from .backend_client import BackendClient
 from .drain import Drain
 
@@ -45,6 +48,10 @@
         Whether this VM drains.
     budget : RetryBudget
         Retries allowed.
+    regions : CallerRegions
+        Regions of callers by client block.
+    lookups : LookupOrder
+        Order of the entry VMs named to callers.
     waiting : int
         Requests that wait for a token or a slot.
     """
@@ -57,6 +64,7 @@
     samples: VersionSelector
     control: ControlClient
     client: BackendClient
+    telemetry: Telemetry
     secret: str = attrs.field(repr=False)
     drain: Drain = attrs.field(factory=Drain)
     budget: RetryBudget = attrs.field(
@@ -64,6 +72,16 @@
             lambda self: RetryBudget(self.settings), takes_self=True
         )
     )
+    regions: CallerRegions = attrs.field(
+        default=attrs.Factory(
+            lambda self: CallerRegions(self.copy), takes_self=True
+        )
+    )
+    lookups: LookupOrder = attrs.field(
+        default=attrs.Factory(
+            lambda self: LookupOrder(self.settings), takes_self=True
+        )
+    )
     waiting: int = 0
 
     async def wait_in_queue(self, waiting):
--- a/medlarhollow/membership/__init__.py
+++ b/medlarhollow/membership/__init__.py
@@ -5,11 +5,13 @@
 from .exchange import Exchange
 from .exchange import OwnLoad
 from .lookup import list_entry_vms
+from .lookup import LookupOrder
 
 __all__ = [
     "Directory",
     "Exchange",
     "OwnLoad",
     "check_announcement",
+    "LookupOrder",
     "list_entry_vms",
 ]
--- a/medlarhollow/membership/lookup.py
+++ b/medlarhollow/membership/lookup.py
@@ -1,108 +1,145 @@
 """Choose the entry VMs that a caller should use."""
 
 from ..messages.records import VmState
-from .weights import region_weights
+from .weights import RegionWeights
 
-__all__ = ["list_entry_vms"]
+__all__ = ["LookupOrder", "list_entry_vms"]
 
 _STEPS = 1 << 16
 
 
-def list_entry_vms(
-    state,
-    settings,
-    caller_region="",
-    takes_callers=None,
-    spread=0,
-    count=None,
-):
-    """Return entry VMs in the order in which a caller should try them.
+class LookupOrder:
+    """Order entry VMs for callers.
+
+    The VMs are grouped by data centre once for each revision, since a fleet
+    has thousands of them and each serves about a thousand look-ups a second.
 
     Parameters
     ----------
-    state : FleetState
-        Its roster names the entry VMs.
     settings : Settings
         Sections ``vm`` and ``entry`` are read.
-    caller_region : str
-        Region of the caller, if known.
-    takes_callers : callable or None
-        Tells for a `Vm` whether it is alive, in addition to the roster.
-    spread : int
-        Hash of the caller; callers are spread by it over VMs of equal rank
-        and over regions by weight.
-    count : int or None
-        Greatest number of VMs; None for that of the settings.
-
-    Returns
-    -------
-    list of Vm
-        Serving VMs. With a known region of the caller, its regions come in
-        an order by weight; otherwise the VMs of this data centre come first,
-        then those of this region, then others. If all would be of one data
-        centre, the last one is replaced by one of another, so that the
-        caller can go on if the data centre fails. VMs without a caller
-        address, which take no callers, are left out.
     """
-    own = settings.vm
-    home = caller_region or own.region
-    ranks = _rank_regions(state, caller_region, spread)
-
-    def rank(vm):
-        return (
-            ranks.get(vm.region, len(ranks)),
-            vm.data_centre != own.data_centre,
-            vm.region != home,
-            vm.data_centre,
+
+    def __init__(self, settings):
+        self._own = settings.vm
+        self._count = settings.entry.lookup_count
+        self._weights = RegionWeights()
+        self._seen = None
+        self._groups = {}
+
+    def list(
+        self,
+        state,
+        caller_region="",
+        takes_callers=None,
+        spread=0,
+        count=None,
+    ):
+        """Return entry VMs in the order in which a caller should try them.
+
+        Parameters
+        ----------
+        state : FleetState
+            Its roster names the entry VMs.
+        caller_region : str
+            Region of the caller, if known.
+        takes_callers : callable or None
+            Tells for a `Vm` whether it is alive, in addition to the roster.
+        spread : int
+            Hash of the caller; callers are spread by it over VMs of equal
+            rank and over regions by weight.
+        count : int or None
+            Greatest number of VMs; None for that of the settings.
+
+        Returns
+        -------
+        list of Vm
+            Serving VMs. With a known region of the caller, its regions come
+            in an order by weight; otherwise the VMs of this data centre come
+            first, then those of this region, then others. If all would be of
+            one data centre, the last one is replaced by one of another, so
+            that the caller can go on if the data centre fails. VMs without a
+            caller address, which take no callers, are left out.
+        """
+        self._follow(state)
+        ranks = self._rank_regions(state, caller_region, spread)
+        home = caller_region or self._own.region
+        places = sorted(
+            self._groups,
+            key=lambda place: (
+                ranks.get(place[0], len(ranks)),
+                place[1] != self._own.data_centre,
+                place[0] != home,
+                place[1],
+            ),
         )
+        if count is None:
+            count = self._count
+        return self._choose(places, takes_callers, spread, count)
 
-    groups = {}
-    for vm in sorted(state.vms.values(), key=lambda vm: vm.name):
-        if (
-            vm.state is VmState.SERVING
-            and vm.caller_address
-            and (takes_callers is None or takes_callers(vm))
-        ):
-            groups.setdefault(rank(vm), []).append(vm)
-    ordered = []
-    for place in sorted(groups):
-        group = groups[place]
-        start = spread % len(group)
-        ordered += group[start:] + group[:start]
-    if count is None:
-        count = settings.entry.lookup_count
-    return _keep_alternative(ordered, count)
-
-
-def _rank_regions(state, caller_region, spread):
-    """Return ranks of the regions that a caller's region sends to.
-
-    The first one is drawn by weight, so that over many callers each region
-    gets its part; the others follow by weight.
-    """
-    if not caller_region:
-        return {}
-    weights = region_weights(state, caller_region)
-    point = (spread * 40503 % _STEPS) / _STEPS
-    first = ""
-    for region in sorted(weights):
-        first = region
-        if point < weights[region]:
-            break
-        point -= weights[region]
-    ordered = sorted(
-        weights,
-        key=lambda region: (region != first, -weights[region], region),
-    )
-    return {region: number for number, region in enumerate(ordered)}
+    def _follow(self, state):
+        if self._seen == (id(state), state.revision, len(state.vms)):
+            return
+        self._seen = (id(state), state.revision, len(state.vms))
+        self._groups = {}
+        for name in sorted(state.vms):
+            vm = state.vms[name]
+            if vm.state is VmState.SERVING and vm.caller_address:
+                place = (vm.region, vm.data_centre)
+                self._groups.setdefault(place, []).append(vm)
 
+    def _rank_regions(self, state, caller_region, spread):
+        """Return ranks of the regions that a caller's region sends to.
 
-def _keep_alternative(ordered, count):
-    chosen = ordered[:count]
-    data_centres = {vm.data_centre for vm in chosen}
-    if len(chosen) > 1 and len(data_centres) == 1:
-        for vm in ordered[count:]:
-            if vm.data_centre not in data_centres:
-                chosen[-1] = vm
+        The first one is drawn by weight, so that over many callers each
+        region gets its part; the others follow by weight.
+        """
+        if not caller_region:
+            return {}
+        weights = self._weights.row(state, caller_region)
+        point = (spread * 40503 % _STEPS) / _STEPS
+        first = ""
+        for region in sorted(weights):
+            first = region
+            if point < weights[region]:
                 break
-    return chosen
+            point -= weights[region]
+        ordered = sorted(
+            weights,
+            key=lambda region: (region != first, -weights[region], region),
+        )
+        return {region: number for number, region in enumerate(ordered)}
+
+    def _choose(self, places, takes_callers, spread, count):
+        """Return the first live VMs, at least one of another data centre."""
+        chosen = []
+        for place in places:
+            group = self._groups[place]
+            start = spread % len(group)
+            for vm in group[start:] + group[:start]:
+                if takes_callers is not None and not takes_callers(vm):
+                    continue
+                if len(chosen) < count:
+                    chosen.append(vm)
+                elif count > 1 and _is_elsewhere(vm, chosen):
+                    return [*chosen[:-1], vm]
+                else:
+                    break
+            if len(chosen) == count and not _is_one_data_centre(chosen):
+                return chosen
+        return chosen
+
+
+def list_entry_vms(state, settings, caller_region="", **more):
+    """Return entry VMs once, as :meth:`LookupOrder.list` does."""
+    return LookupOrder(settings).list(state, caller_region, **more)
+
+
+def _is_elsewhere(vm, chosen):
+    return _is_one_data_centre(chosen) and (
+        vm.data_centre != chosen[0].data_centre
+    )
+
+
+def _is_one_data_centre(vms):
+    return len({vm.data_centre for vm in vms}) == 1
--- a/medlarhollow/steering/__init__.py
+++ b/medlarhollow/steering/__init__.py
@@ -3,6 +3,13 @@
 from .assignment import Assignment
 from .assignment import AttemptResult
 from .assignment import Demand
+from .callers import CallerRegions
 from .dispatcher import Dispatcher
 
-__all__ = ["Assignment", "AttemptResult", "Demand", "Dispatcher"]
+__all__ = [
+    "Assignment",
+    "AttemptResult",
+    "CallerRegions",
+    "Demand",
+    "Dispatcher",
+]
--- a/medlarhollow/steering/spill.py
+++ b/medlarhollow/steering/spill.py
@@ -8,7 +8,7 @@
 from grpclib.exceptions import GRPCError
 from grpclib.exceptions import StreamTerminatedError
 
-from ..membership.weights import region_weights
+from ..membership.weights import RegionWeights
 from ..messages.records import CreditRequest
 from ..messages.records import CreditResponse
 from ..messages.records import ErrorKind
@@ -51,6 +51,7 @@
         self._channels = channels
         self._ledger = CreditLedger(settings)
         self._purse = CreditPurse()
+        self._weights = RegionWeights()
         self._asked_at = {}
         self._turn = 0
 
@@ -61,7 +62,7 @@
 
     def weights(self):
         """Return the parts of new work by region, as the preset says."""
-        return region_weights(self._copy.state, self._settings.vm.region)
+        return self._weights.row(self._copy.state, self._settings.vm.region)
 
     def has_others(self):
         """Tell whether any other data centre has an entry VM."""
--- /dev/null
+++ b/medlarhollow/steering/tests/test_callers.py
@@ -0,0 +1,25 @@
+import asyncio
+
+from medlarhollow.configuration import apply
+from medlarhollow.limits.tests.support import make_state
+from medlarhollow.limits.tests.support import StandInCopy
+from medlarhollow.messages.records import ClientBlock
+from medlarhollow.messages.records import PutClientBlocks
+from medlarhollow.steering.callers import CallerRegions
+
+
+async def test_table_follows_changes_of_blocks(monkeypatch):
+    """Guards look-ups against a table that misses an agreed block, or still
+    has one that was removed."""
+    monkeypatch.setattr("medlarhollow.steering.callers._POLL_S", 0.01)
+    state = make_state()
+    regions = CallerRegions(StandInCopy(state))
+    task = asyncio.create_task(regions.run())
+    for region in ("north", "south", ""):
+        block = ClientBlock("192.0.2.0/24", region)
+        assert apply(PutClientBlocks((block,)), state, 0.0).is_ok()
+        state.revision += 1
+        async with asyncio.timeout(5):
+            while regions.find("192.0.2.7") != region:
+                await asyncio.sleep(0.01)
+    task.cancel()
