--- a/bench/entry_load.py
+++ b/bench/entry_load.py
@@ -128,7 +128,7 @@
         rows = await measure("direct", direct, {}, backend)
         rows += await measure("open", f"{front}/open", {}, entry)
         rows += await measure("keyed", f"{front}/keyed", keyed, entry)
-        look_up = f"{front}/v1/lookup"
+        look_up = f"{front}/v1/lookup?service=plots"
         rows += await measure("lookup", look_up, {}, entry)
     finally:
         fleet.stop()
--- a/medlarhollow/localfleet/fleet.py
+++ b/medlarhollow/localfleet/fleet.py
@@ -52,6 +52,7 @@
         self._options = options or {}
         self._addresses = {}
         self._processes = {}
+        self._backends = {}
         self._write_secrets()
         control = [f"control-{number + 1}" for number in range(replicas)]
         entries = [
@@ -131,13 +132,14 @@
         LocalProcess
             The process.
         """
+        address = self._backends[name] = free_addresses(1)[0]
         arguments = [
             "medlarhollow.localfleet.backend",
             *("--name", name),
             *("--service", service),
             *("--version", version),
             *("--credential", credential),
-            *("--listen", free_addresses(1)[0]),
+            *("--listen", address),
             *options,
         ]
         for entry in entries:
@@ -146,6 +148,10 @@
         self._processes[name] = process
         return process
 
+    def backend_address(self, name):
+        """Return the address of a fake backend server."""
+        return self._backends[name]
+
     def _write_secrets(self):
         self._folder.mkdir(parents=True, exist_ok=True)
         (self._folder / "peer.secret").write_text(secrets.token_hex(32))
--- a/medlarhollow/localfleet/process.py
+++ b/medlarhollow/localfleet/process.py
@@ -34,6 +34,11 @@
         """Name of the process."""
         return self._name
 
+    @property
+    def pid(self):
+        """Number of the started process."""
+        return self._process.pid
+
     @property
     def log(self):
         """Text that the process has written so far."""
