Ignore the address that a caller claims; scan fewer headers for keys

Cause: uvicorn believed X-Forwarded-For from loopback, so a caller could choose the region of its look-up; each header was decoded in search of a key, 0.02 ms each in a profile of the request path.

Change: proxy headers are off; a text without the key prefix and without percent-escapes is not decoded.

--- a/medlarhollow/daemon/http.py
+++ b/medlarhollow/daemon/http.py
@@ -51,6 +51,8 @@
                 access_log=False,
                 lifespan="off",
                 server_header=False,
+                # Callers must not choose the address that look-ups see.
+                proxy_headers=False,
                 timeout_keep_alive=limits.keep_alive_s,
             )
         )
--- a/medlarhollow/entry/tests/test_keys.py
+++ b/medlarhollow/entry/tests/test_keys.py
@@ -7,6 +7,8 @@
 import attrs
 import pytest
 
+from medlarhollow.messages.records import ClientBlock
+
 from .stand_ins import answer
 from .stand_ins import Backend
 from .stand_ins import eventually
@@ -301,3 +303,19 @@
         front.copy.state.revision += 1
         _, _, body = await front.call("/v1/lookup?service=plots")
         assert json.loads(body)["entry_vms"] == []
+
+
+async def test_caller_does_not_choose_its_address():
+    """Guards look-ups against a caller that names another address in a
+    header and is sent to the VMs of another region."""
+    front = Front()
+    blocks = front.copy.state.client_blocks
+    blocks["192.0.2.0/24"] = ClientBlock("192.0.2.0/24", "south")
+    blocks["127.0.0.0/8"] = ClientBlock("127.0.0.0/8", "north")
+    async with front.run():
+        await front.vm.regions.rebuild()
+        _, _, body = await front.call(
+            "/v1/lookup?service=plots",
+            headers={"x-forwarded-for": "192.0.2.9"},
+        )
+        assert json.loads(body)["entry_vms"][0]["name"] == "a-1"
--- a/medlarhollow/requests/redaction.py
+++ b/medlarhollow/requests/redaction.py
@@ -103,6 +103,9 @@
 
 def _find_keys(text):
     """Return (start, end, length of the decoded key) of each key."""
+    # Most headers have neither, and decoding them costs 0.02 ms each.
+    if _PREFIX.decode() not in text and not _ESCAPE.search(text):
+        return []
     found = {}
     characters = [(c, i, i + 1) for i, c in enumerate(text)]
     for _ in range(_DECODINGS + 1):
