Use the usual terms in limits, membership and steering

Cause: reading the code as a newcomer, wallet, purse, voucher, news and tour are not terms of the field.

Change: HeldTokens, HeldCredit, owner of a lease, updates, Walkthrough. No behaviour changes.

--- a/medlarhollow/limits/wallet.py
+++ b/medlarhollow/limits/held_tokens.py
@@ -7,7 +7,7 @@
 from ..messages.records import BatchReport
 from .allocator import LEASE_DRIFT
 
-__all__ = ["Wallet"]
+__all__ = ["HeldTokens"]
 
 _ROUNDING = 1e-9
 # Demand is averaged over this time, and batches cover demand for the other.
@@ -26,7 +26,7 @@
     reported: float = 0.0
 
 
-class Wallet:
+class HeldTokens:
     """Hold batches of tokens and spend from them.
 
     Parameters
--- a/medlarhollow/limits/limiter.py
+++ b/medlarhollow/limits/limiter.py
@@ -17,8 +17,8 @@
 from ..messages.records import TokenRequest
 from ..messages.services import FleetStub
 from ..transport import call
+from .held_tokens import HeldTokens
 from .sources import list_sources
-from .wallet import Wallet
 
 __all__ = ["DEMAND_PERIOD_S", "Limiter"]
 
@@ -47,7 +47,7 @@
 class _Line:
     """The requests of one account that wait, and its tokens."""
 
-    wallet: Wallet
+    held_tokens: HeldTokens
     waiters: collections.deque = attrs.field(factory=collections.deque)
     fetching: object = None
     remote_at: float = float("-inf")
@@ -124,11 +124,11 @@
         now = time.monotonic()
         line = self._lines.get(account)
         if line is None:
-            line = self._lines[account] = _Line(Wallet(now))
-        line.wallet.note_demand(now)
+            line = self._lines[account] = _Line(HeldTokens(now))
+        line.held_tokens.note_demand(now)
         line.arrivals += 1
-        if not line.waiters and line.wallet.spend(now):
-            if line.wallet.wanted(0, now) > 0:
+        if not line.waiters and line.held_tokens.spend(now):
+            if line.held_tokens.wanted(0, now) > 0:
                 self._start_fetching(account, line)
             return Ok(None)
         limit_at = min(deadline_at, now + self._settings.limits.wait_limit_s)
@@ -186,9 +186,11 @@
         return tuple(samples)
 
     def _is_idle(self, line, now):
-        line.wallet.forget(now)
+        line.held_tokens.forget(now)
         return (
-            not line.waiters and line.fetching is None and line.wallet.is_empty
+            not line.waiters
+            and line.fetching is None
+            and line.held_tokens.is_empty
         )
 
     def _start_fetching(self, account, line):
@@ -234,7 +236,9 @@
         burst refills while the other requests wait.
         """
         while True:
-            wanted = line.wallet.wanted(len(line.waiters), time.monotonic())
+            wanted = line.held_tokens.wanted(
+                len(line.waiters), time.monotonic()
+            )
             tokens, wait_s = await self._draw(account, line, source, wanted)
             if not tokens or not line.waiters:
                 return wait_s
@@ -248,7 +252,7 @@
             if not line.waiters:
                 return
             line.remote_at = time.monotonic()
-            missing = len(line.waiters) - line.wallet.available(now)
+            missing = len(line.waiters) - line.held_tokens.available(now)
             await self._draw(account, line, source, missing)
 
     def _rotate(self, sources):
@@ -275,14 +279,14 @@
                 vm=self._settings.vm.name,
                 incarnation=self._incarnation,
                 epoch=source.epoch,
-                batches=line.wallet.reports(
+                batches=line.held_tokens.reports(
                     source.data_centre, source.epoch, requested_at
                 ),
             ),
         )
         if response is None:
             return 0.0, _LONGEST_WAIT_S
-        line.wallet.add(source.data_centre, response, requested_at)
+        line.held_tokens.add(source.data_centre, response, requested_at)
         self._serve(line)
         return response.tokens, response.wait_s
 
@@ -290,7 +294,7 @@
         while line.waiters:
             if line.waiters[0].done():
                 line.waiters.popleft()
-            elif line.wallet.spend(time.monotonic()):
+            elif line.held_tokens.spend(time.monotonic()):
                 line.waiters.popleft().set_result(None)
             else:
                 return
@@ -356,7 +360,9 @@
         }
         calls = []
         for account, line in list(self._lines.items()):
-            for place in line.wallet.sources_to_settle(now, close_within_s):
+            for place in line.held_tokens.sources_to_settle(
+                now, close_within_s
+            ):
                 if place in sources:
                     calls.append(
                         self._settle_one(
@@ -367,7 +373,7 @@
 
     async def _settle_one(self, account, line, source, close_within_s):
         now = time.monotonic()
-        batches = line.wallet.reports(
+        batches = line.held_tokens.reports(
             source.data_centre, source.epoch, now, close_within_s
         )
         response = await self._call(
@@ -381,4 +387,4 @@
             ),
         )
         if response is not None:
-            line.wallet.add(source.data_centre, response, now)
+            line.held_tokens.add(source.data_centre, response, now)
--- a/medlarhollow/limits/tests/test_escrow.py
+++ b/medlarhollow/limits/tests/test_escrow.py
@@ -9,7 +9,7 @@
 
 from medlarhollow.limits.allocator import ShareAllocator
 from medlarhollow.limits.escrow import EscrowBucket
-from medlarhollow.limits.wallet import Wallet
+from medlarhollow.limits.held_tokens import HeldTokens
 from medlarhollow.messages.records import Allocator
 from medlarhollow.messages.records import Share
 from medlarhollow.messages.records import TokenRequest
@@ -77,7 +77,7 @@
         self.cut_off = set()
         self.requests = []
         self.answers = []
-        self.wallets = [Wallet(0.0) for _ in range(3)]
+        self.holders = [HeldTokens(0.0) for _ in range(3)]
         self.transfer = None
         for site in SITES:
             self.set_share(site, RATE_PER_S / 2, BURST / 2)
@@ -153,24 +153,26 @@
             has_predecessor=known is not None,
         )
 
-    def request(self, vm, wallet, tokens, close_within_s):
-        reports = wallet.reports(vm.site, vm.epoch, self.now, close_within_s)
+    def request(self, vm, held_tokens, tokens, close_within_s):
+        reports = held_tokens.reports(
+            vm.site, vm.epoch, self.now, close_within_s
+        )
         return TokenRequest("crew", tokens, epoch=vm.epoch, batches=reports)
 
     def draw_everywhere(self):
-        wallet = self.random.choice(self.wallets)
+        held_tokens = self.random.choice(self.holders)
         for vm in self.vms.values():
-            request = self.request(vm, wallet, 20.0, 0.0)
+            request = self.request(vm, held_tokens, 20.0, 0.0)
             response = vm.answer(request, self.now)
             if response.failure is None:
-                wallet.add(vm.site, response, self.now)
+                held_tokens.add(vm.site, response, self.now)
 
     def ask(self):
-        holder = self.random.randrange(len(self.wallets))
+        holder = self.random.randrange(len(self.holders))
         vm = self.random.choice(list(self.vms.values()))
         request = self.request(
             vm,
-            self.wallets[holder],
+            self.holders[holder],
             self.random.choice([0.0, 2.0, 20.0]),
             self.random.choice([0.0, 2.0]),
         )
@@ -189,19 +191,19 @@
             place = self.random.randrange(len(self.answers))
             holder, site, response, at = self.answers.pop(place)
             if response.failure is None and self.random.random() < 0.8:
-                self.wallets[holder].add(site, response, at)
+                self.holders[holder].add(site, response, at)
 
     def spend(self):
         limit = self.random.choice([2, 100, 100])
-        for wallet in self.wallets:
+        for held_tokens in self.holders:
             for _ in range(limit):
-                if not wallet.spend(self.now):
+                if not held_tokens.spend(self.now):
                     break
                 assert self.central.take(self.now), "above rate and burst"
 
     def restart_holder(self):
-        holder = self.random.randrange(len(self.wallets))
-        self.wallets[holder] = Wallet(self.now)
+        holder = self.random.randrange(len(self.holders))
+        self.holders[holder] = HeldTokens(self.now)
 
     def move_share(self):
         if self.transfer is None:
@@ -316,12 +318,12 @@
     """Guards against an answer that arrives so late that the allocator
     has counted the batch as ended."""
     allocator = EscrowBucket(10.0, 10.0, 0.0)
-    wallet = Wallet(0.0)
+    held_tokens = HeldTokens(0.0)
     response = _response(allocator.hand_out(1, 5.0, 1.0, 2.0))
-    wallet.add("east", response, 2.0)
-    assert wallet.spend(2.98)
-    assert not wallet.spend(2.995)
-    late = Wallet(0.0)
+    held_tokens.add("east", response, 2.0)
+    assert held_tokens.spend(2.98)
+    assert not held_tokens.spend(2.995)
+    late = HeldTokens(0.0)
     late.add("east", response, 2.0 - 1.0)
     assert not late.spend(2.0)
 
--- a/medlarhollow/limits/tests/test_limiter.py
+++ b/medlarhollow/limits/tests/test_limiter.py
@@ -246,5 +246,7 @@
     assert await world.admit_many(8) == 8
     assert world.services["near"].allocator._buckets["crew"].outstanding > 0
     await asyncio.sleep(0.9)
-    held = sum(held.left for held in world.limiter._lines["crew"].wallet._held)
+    held = sum(
+        held.left for held in world.limiter._lines["crew"].held_tokens._held
+    )
     assert held == 0
--- a/medlarhollow/localfleet/quickstart.py
+++ b/medlarhollow/localfleet/quickstart.py
@@ -15,8 +15,8 @@
 
 from ..cli.client import AdminClient
 from .fleet import LocalFleet
-from .tour import make_steps
-from .tour import Tour
+from .walkthrough import make_steps
+from .walkthrough import Walkthrough
 
 __all__ = ["main", "run_steps"]
 
@@ -90,8 +90,8 @@
             if name.startswith("control-")
         ]
         admin = AdminClient(session, addresses, fleet.operator_token, 10.0)
-        tour = Tour(fleet, admin, session)
-        return await run_steps(make_steps(tour), started_at)
+        walkthrough = Walkthrough(fleet, admin, session)
+        return await run_steps(make_steps(walkthrough), started_at)
 
 
 def _interrupt(number, frame):
--- a/medlarhollow/localfleet/tour.py
+++ b/medlarhollow/localfleet/walkthrough.py
@@ -9,7 +9,7 @@
 
 from ..configuration import new_key
 
-__all__ = ["Tour", "make_steps"]
+__all__ = ["Walkthrough", "make_steps"]
 
 _PAUSE_S = 0.1
 _STEP_LIMIT_S = 12.0
@@ -53,7 +53,7 @@
 }
 
 
-class Tour:
+class Walkthrough:
     """Order what operators order and check what callers see.
 
     Parameters
@@ -240,17 +240,17 @@
     """Say that a check can no longer hold."""
 
 
-def make_steps(tour):
+def make_steps(walkthrough):
     """Return the steps in their order, with their names."""
     return [
-        ("fleet starts", tour.start_fleet),
-        ("configuration in force", tour.configure),
-        ("look-up", tour.look_up),
-        ("keyed request served", tour.serve_keyed),
-        ("request without key refused", tour.refuse_unknown),
-        ("key revoked", tour.revoke),
-        ("preset activated", tour.switch_preset),
-        ("version move finished", tour.move),
+        ("fleet starts", walkthrough.start_fleet),
+        ("configuration in force", walkthrough.configure),
+        ("look-up", walkthrough.look_up),
+        ("keyed request served", walkthrough.serve_keyed),
+        ("request without key refused", walkthrough.refuse_unknown),
+        ("key revoked", walkthrough.revoke),
+        ("preset activated", walkthrough.switch_preset),
+        ("version move finished", walkthrough.move),
     ]
 
 
--- a/medlarhollow/membership/directory.py
+++ b/medlarhollow/membership/directory.py
@@ -39,7 +39,7 @@
 @attrs.define
 class _Entry:
     server: object
-    voucher: str
+    owner: str
     expires_at: float
     since: float
     load_at: float
@@ -55,9 +55,9 @@
 
     Notes
     -----
-    The VM that received the last announcement vouches for a server's lease.
+    The VM that received the last announcement owns a server's lease.
     Each announcement raises the server's sequence number above any that is
-    known here, so that news that was overtaken on its way is recognised
+    known here, so that an update that was overtaken on its way is recognised
     without comparing clocks.
     """
 
@@ -76,7 +76,7 @@
         return self._peers
 
     def subscribe(self, listener):
-        """Call `listener` without arguments for news that must not wait."""
+        """Call `listener` without arguments for updates that must not wait."""
         self._listeners.append(listener)
 
     def announce(self, server, now):
@@ -92,17 +92,17 @@
         known = self._entries.get(server.server_id)
         sequence = known.server.sequence + 1 if known else 1
         server = attrs.evolve(server, sequence=sequence, in_flight=0)
-        is_news = (
+        is_change = (
             known is None
             or known.expires_at <= now
-            or known.voucher != self._own_name
+            or known.owner != self._own_name
             or _is_other_process(known.server, server)
             or known.server.leaving != server.leaving
         )
         expires_at = now + self._settings.lease_s
         load_at = now - server.load_age_s
         self._put(server, self._own_name, expires_at, now, load_at)
-        if is_news:
+        if is_change:
             for listener in self._listeners:
                 listener()
 
@@ -153,8 +153,8 @@
         """Return the identifiers of all servers that are remembered."""
         return set(self._entries)
 
-    def vouched(self, now):
-        """Return the servers that this VM vouches for.
+    def owned(self, now):
+        """Return the servers that this VM owns the lease of.
 
         Parameters
         ----------
@@ -176,7 +176,7 @@
                 entry.expires_at,
             )
             for entry in self._entries.values()
-            if entry.voucher == self._own_name and entry.expires_at > now
+            if entry.owner == self._own_name and entry.expires_at > now
         ]
 
     def merge(self, update, now):
@@ -191,7 +191,7 @@
         """
         name = update.vm.name
         if self._peers.hear(update, now):
-            self._forget_voucher(name)
+            self._forget_owner(name)
         described = self._described.setdefault(name, {})
         if update.sequence == 1:
             described.clear()
@@ -212,18 +212,18 @@
         for server_id in update.removed:
             described.pop(server_id, None)
             entry = self._entries.get(server_id)
-            if entry is not None and entry.voucher == name:
+            if entry is not None and entry.owner == name:
                 del self._entries[server_id]
 
-    def is_vouched_elsewhere(self, server_id):
-        """Tell whether another VM vouches for a server now."""
+    def is_owned_elsewhere(self, server_id):
+        """Tell whether another VM owns the lease of a server now."""
         entry = self._entries.get(server_id)
-        return entry is not None and entry.voucher != self._own_name
+        return entry is not None and entry.owner != self._own_name
 
-    def _forget_voucher(self, name):
-        """Accept any news of a VM that restarted and counts anew."""
+    def _forget_owner(self, name):
+        """Accept any updates of a VM that restarted and counts anew."""
         for entry in self._entries.values():
-            if entry.voucher == name:
+            if entry.owner == name:
                 entry.server = attrs.evolve(entry.server, sequence=0)
 
     def _merge_server(self, server, name, now, renewal=False):
@@ -236,7 +236,7 @@
             load_at = known.load_at
         self._put(server, name, now + lease_s, now, load_at)
 
-    def _put(self, server, voucher, expires_at, now, load_at):
+    def _put(self, server, owner, expires_at, now, load_at):
         known = self._entries.get(server.server_id)
         since = now
         if (
@@ -246,7 +246,7 @@
         ):
             since = known.since
         self._entries[server.server_id] = _Entry(
-            server, voucher, expires_at, since, load_at
+            server, owner, expires_at, since, load_at
         )
 
     def _usable(self, service, version, now):
--- a/medlarhollow/membership/exchange.py
+++ b/medlarhollow/membership/exchange.py
@@ -9,7 +9,7 @@
 from grpclib.exceptions import StreamTerminatedError
 
 from ..messages.services import FleetStub
-from .news import OutgoingNews
+from .updates import OutgoingUpdates
 
 __all__ = ["Exchange", "OwnLoad"]
 
@@ -50,7 +50,7 @@
     copy : FleetCopy
         Its roster names the VMs.
     directory : Directory
-        Gives and takes the news.
+        Gives and takes the updates.
     channels : Channels
         Connections to the VMs.
     own_vm : callable
@@ -175,12 +175,12 @@
             await asyncio.gather(sender, receiver, return_exceptions=True)
 
     async def _send(self, stream, waker):
-        news = OutgoingNews()
+        updates = OutgoingUpdates()
         silence_s = self._settings.peer.silence_timeout_s
         while True:
             waker.clear()
             now = time.monotonic()
-            update = news.next_update(
+            update = updates.next_update(
                 self._own_vm(), self._directory, self._own_load(now), now
             )
             async with asyncio.timeout(silence_s):
--- a/medlarhollow/membership/tests/test_directory.py
+++ b/medlarhollow/membership/tests/test_directory.py
@@ -1,4 +1,4 @@
-"""Leases and the order of news between directories."""
+"""Leases and the order of updates between directories."""
 
 import attrs
 import hypothesis
@@ -8,7 +8,7 @@
 from medlarhollow.limits.tests.support import make_settings
 from medlarhollow.membership import Directory
 from medlarhollow.membership import OwnLoad
-from medlarhollow.membership.news import OutgoingNews
+from medlarhollow.membership.updates import OutgoingUpdates
 from medlarhollow.messages.records import BackendServer
 from medlarhollow.messages.records import Vm
 from medlarhollow.messages.records import VmState
@@ -35,12 +35,12 @@
     def __init__(self, name, incarnation="1"):
         self.vm = Vm(name=name, incarnation=incarnation, data_centre="north-a")
         self.directory = Directory(make_settings(name))
-        self.news = {}
+        self.updates = {}
         self.load = OwnLoad()
 
     def update_for(self, other, now):
-        news = self.news.setdefault(other, OutgoingNews())
-        update = news.next_update(self.vm, self.directory, self.load, now)
+        updates = self.updates.setdefault(other, OutgoingUpdates())
+        update = updates.next_update(self.vm, self.directory, self.load, now)
         return attrs.evolve(update, vm=self.vm)
 
     def tell(self, other, now):
@@ -95,7 +95,7 @@
     assert a.usable(1.0) == b.usable(1.0) == []
 
 
-def test_older_news_does_not_override_newer(pair):
+def test_older_updates_do_not_override_newer(pair):
     """Guards against a server that leaves and gets work again because of a
     record that another VM still holds."""
     a, b = pair
@@ -218,7 +218,7 @@
 )
 @hypothesis.settings(deadline=None)
 def test_directories_agree_on_the_last_announcement(steps, last, leaving):
-    """Guards against directories that stay apart after any order of news: a
+    """Guards against directories that stay apart after any order of updates: a
     naive directory that sees every announcement holds only the last one."""
     members = [Member(name) for name in "abc"]
     now = 0.0
--- a/medlarhollow/membership/tests/test_exchange.py
+++ b/medlarhollow/membership/tests/test_exchange.py
@@ -166,7 +166,7 @@
 
 
 async def test_a_leaving_server_is_known_at_once(make_members):
-    """Guards against news that waits for the next message of the stream."""
+    """Guards against updates that waits for the next message of the stream."""
     a, b = await make_members(["a", "b"])
     # By then one stream is left.
     await asyncio.sleep(1.5)
--- a/medlarhollow/membership/news.py
+++ b/medlarhollow/membership/updates.py
@@ -5,13 +5,13 @@
 from ..messages.records import BackendServer
 from ..messages.records import ExchangeUpdate
 
-__all__ = ["OutgoingNews"]
+__all__ = ["OutgoingUpdates"]
 
 # Reported load is sent again when it has changed by this much.
 _LOAD_STEP = 0.05
 
 
-class OutgoingNews:
+class OutgoingUpdates:
     """Remember what one stream has sent, so that it sends only changes."""
 
     def __init__(self):
@@ -28,7 +28,7 @@
         vm : Vm
             This VM.
         directory : Directory
-            The servers that this VM vouches for.
+            The servers that this VM owns the lease of.
         load : OwnLoad
             Requests in flight here.
         now : float
@@ -44,17 +44,17 @@
         self._sequence += 1
         counts = load.in_flight
         records = {}
-        vouched = directory.vouched(now)
-        for server, expires_at in vouched:
+        owned = directory.owned(now)
+        for server, expires_at in owned:
             record = self._describe(server, expires_at - now)
             if record is not None:
                 records[server.server_id] = record
-        names = {server.server_id for server, _ in vouched}
+        names = {server.server_id for server, _ in owned}
         ended = [name for name in self._sent if name not in names]
         for name in ended:
             del self._sent[name]
         removed = [
-            name for name in ended if not directory.is_vouched_elsewhere(name)
+            name for name in ended if not directory.is_owned_elsewhere(name)
         ]
         loads = {
             server_id: (counts.get(server_id, 0), server_id in load.wanted)
--- a/medlarhollow/steering/credit.py
+++ b/medlarhollow/steering/credit.py
@@ -9,7 +9,7 @@
 from ..messages.records import ErrorKind
 from ..messages.records import Failure
 
-__all__ = ["CreditLedger", "CreditPurse", "link_slots"]
+__all__ = ["CreditLedger", "HeldCredit", "link_slots"]
 
 # Clocks differ in rate by less than this part.
 _DRIFT = 0.01
@@ -161,7 +161,7 @@
     in_flight: int = 0
 
 
-class CreditPurse:
+class HeldCredit:
     """Credit that this VM holds at others."""
 
     def __init__(self):
--- a/medlarhollow/steering/dispatcher.py
+++ b/medlarhollow/steering/dispatcher.py
@@ -131,10 +131,10 @@
         """
         server = assignment.server
         if assignment.remote:
-            purse = self._spill.purse
-            purse.give_back(server.service, server.server_id)
+            held_credit = self._spill.held_credit
+            held_credit.give_back(server.service, server.server_id)
             if result in (AttemptResult.NOT_SENT, AttemptResult.UNANSWERED):
-                purse.drop(server.service, server.server_id)
+                held_credit.drop(server.service, server.server_id)
             return
         self._slots.give_back(server, assignment.version, result, now)
         pool = self._pools.get((server.service, assignment.version))
@@ -239,7 +239,7 @@
         return self._take_credit(pool, demand, now, others)
 
     def _take_credit(self, pool, demand, now, regions=None):
-        taken = self._spill.purse.take(
+        taken = self._spill.held_credit.take(
             pool.service, demand.excluded, now, regions
         )
         if taken is None:
@@ -326,7 +326,7 @@
         while len(pool.queue):
             candidates = self._candidates(pool, now)
             if not any(one.free > 0 for one in candidates) and not (
-                self._spill.purse.free(pool.service, now)
+                self._spill.held_credit.free(pool.service, now)
             ):
                 return
             found = []
@@ -349,7 +349,7 @@
         wanted = len(pool.queue)
         if pool.wants_away:
             wanted += math.ceil(pool.in_flight * pool.wants_away) + 1
-        wanted += self._spill.purse.in_flight(pool.service)
+        wanted += self._spill.held_credit.in_flight(pool.service)
         is_asking = pool.service in self._asking
         if not wanted or is_asking or not self._spill.has_others():
             return
@@ -365,7 +365,7 @@
             self._pump(pool, time.monotonic())
 
     def _forget(self, now):
-        self._spill.purse.forget(now)
+        self._spill.held_credit.forget(now)
         self._slots.forget()
         for place, pool in list(self._pools.items()):
             pool.wants_away *= 0.9
--- a/medlarhollow/steering/spill.py
+++ b/medlarhollow/steering/spill.py
@@ -17,7 +17,7 @@
 from ..messages.services import FleetStub
 from ..transport import call
 from .credit import CreditLedger
-from .credit import CreditPurse
+from .credit import HeldCredit
 from .credit import link_slots
 
 __all__ = ["Spill"]
@@ -50,15 +50,15 @@
         self._copy = copy
         self._channels = channels
         self._ledger = CreditLedger(settings)
-        self._purse = CreditPurse()
+        self._held_credit = HeldCredit()
         self._weights = RegionWeights()
         self._asked_at = {}
         self._turn = 0
 
     @property
-    def purse(self):
-        """CreditPurse : credit held at other VMs."""
-        return self._purse
+    def held_credit(self):
+        """HeldCredit : credit held at other VMs."""
+        return self._held_credit
 
     def weights(self):
         """Return the parts of new work by region, as the preset says."""
@@ -94,7 +94,7 @@
         asked = [
             vm
             for vm in self._targets()
-            if self._purse.needs_renewal(service, vm.name, wanted, now)
+            if self._held_credit.needs_renewal(service, vm.name, wanted, now)
         ][:_ROUND_VMS]
         granted = await asyncio.gather(
             *(self._ask_one(service, wanted, vm) for vm in asked)
@@ -195,5 +195,5 @@
         except (GRPCError, StreamTerminatedError, OSError) as error:
             _LOG.info("steering: no credit from %s: %s", vm.name, error)
             return False
-        self._purse.put(service, vm, response, requested_at)
+        self._held_credit.put(service, vm, response, requested_at)
         return response.slots > 0
--- a/medlarhollow/steering/tests/test_credit.py
+++ b/medlarhollow/steering/tests/test_credit.py
@@ -16,7 +16,7 @@
 from medlarhollow.messages.records import Shift
 from medlarhollow.messages.records import Vm
 from medlarhollow.steering.credit import CreditLedger
-from medlarhollow.steering.credit import CreditPurse
+from medlarhollow.steering.credit import HeldCredit
 from medlarhollow.steering.spill import Spill
 
 LEASE_S = 2.0
@@ -134,29 +134,29 @@
 def test_credit_is_spent_only_until_it_lapses_after_the_request():
     """Guards against an answer that was late and against credit spent after
     its lease."""
-    purse = CreditPurse()
-    purse.put("plots", make_vm(), respond(3), requested_at=0.0)
-    assert purse.take("plots", NONE, 1.9) is not None
-    assert purse.take("plots", NONE, 1.99) is None
-    late = CreditPurse()
+    held_credit = HeldCredit()
+    held_credit.put("plots", make_vm(), respond(3), requested_at=0.0)
+    assert held_credit.take("plots", NONE, 1.9) is not None
+    assert held_credit.take("plots", NONE, 1.99) is None
+    late = HeldCredit()
     late.put("plots", make_vm(), respond(3), requested_at=-LEASE_S)
     assert late.take("plots", NONE, 0.0) is None
 
 
 def test_no_more_requests_than_credit_are_elsewhere():
     """Guards the granting side, across a renewal too."""
-    purse = CreditPurse()
-    purse.put("plots", make_vm(), respond(2), 0.0)
-    assert purse.take("plots", NONE, 0.1) is not None
-    assert purse.take("plots", NONE, 0.1) is not None
-    assert purse.take("plots", NONE, 0.1) is None
-    purse.put("plots", make_vm(), respond(3), 1.0)
-    assert purse.take("plots", NONE, 1.1) is not None
-    assert purse.take("plots", NONE, 1.1) is None
-    purse.give_back("plots", "far")
-    assert purse.take("plots", NONE, 1.1) is not None
-    assert purse.take("plots", frozenset({"far"}), 1.1) is None
-    assert purse.take("other", NONE, 1.1) is None
+    held_credit = HeldCredit()
+    held_credit.put("plots", make_vm(), respond(2), 0.0)
+    assert held_credit.take("plots", NONE, 0.1) is not None
+    assert held_credit.take("plots", NONE, 0.1) is not None
+    assert held_credit.take("plots", NONE, 0.1) is None
+    held_credit.put("plots", make_vm(), respond(3), 1.0)
+    assert held_credit.take("plots", NONE, 1.1) is not None
+    assert held_credit.take("plots", NONE, 1.1) is None
+    held_credit.give_back("plots", "far")
+    assert held_credit.take("plots", NONE, 1.1) is not None
+    assert held_credit.take("plots", frozenset({"far"}), 1.1) is None
+    assert held_credit.take("other", NONE, 1.1) is None
 
 
 @hypothesis.given(
@@ -175,7 +175,7 @@
     """Guards invariant 2 for any order of requests and lost answers: the
     credit that is valid at the holders fits the headroom."""
     ledger = CreditLedger(make_settings("near"))
-    purses = {name: CreditPurse() for name in "abc"}
+    purses = {name: HeldCredit() for name in "abc"}
     now = 0.0
     for name, seconds, slots, lost in steps:
         now += seconds
@@ -183,6 +183,8 @@
         response = ledger.grant(request, 20.0, 15, now)
         if not lost:
             purses[name].put("plots", make_vm(), response, now)
-        usable = sum(purse.free("plots", now) for purse in purses.values())
+        usable = sum(
+            held_credit.free("plots", now) for held_credit in purses.values()
+        )
         assert usable <= 15
         assert ledger.outstanding("plots", now) <= 15
