--- a/medlarhollow/daemon/tests/fleets.py
+++ b/medlarhollow/daemon/tests/fleets.py
@@ -80,11 +80,12 @@
         while True:
             for name in ("north-a-1", "north-a-2"):
                 announce = self.fleet.addresses[name].announce
-                with contextlib.suppress(aiohttp.ClientError):
+                with contextlib.suppress(aiohttp.ClientError, TimeoutError):
                     async with self.client.post(
                         f"http://{announce}/v1/announce",
                         json=body,
                         headers={"authorization": "Bearer credential"},
+                        timeout=aiohttp.ClientTimeout(total=0.5),
                     ):
                         pass
             await asyncio.sleep(0.3)
