Say in one line why a data folder cannot be used

Cause: a damaged data folder, or one of another replica, ended the daemon with a traceback.

Change: one log line and exit code 4, which a failed disk has already; the test of a damaged folder asks for both.

Measured: the tests with control processes and of the log pass.

--- a/medlarhollow/agreement/tests/test_processes.py
+++ b/medlarhollow/agreement/tests/test_processes.py
@@ -180,6 +180,7 @@
     deadline = time.monotonic() + LIMIT_S
     while process.exit_code is None and time.monotonic() < deadline:
         await asyncio.sleep(0.05)
-    assert process.exit_code not in (None, 0)
+    assert process.exit_code == 4
+    assert "Traceback" not in process.log
     assert "check value does not match" in process.log
     await fleet.put("y")
--- a/medlarhollow/daemon/main.py
+++ b/medlarhollow/daemon/main.py
@@ -2,10 +2,12 @@
 
 import argparse
 import asyncio
+import logging
 import sys
 
 import uvloop
 
+from ..errors import FailureError
 from ..settings import load_settings
 from ..settings import SettingsError
 from ..telemetry import set_up_logs
@@ -13,7 +15,9 @@
 
 __all__ = ["main"]
 
+_LOG = logging.getLogger(__name__)
 EXIT_BAD_SETTINGS = 2
+EXIT_CANNOT_START = 4
 
 
 def main(arguments=None):
@@ -28,7 +32,7 @@
     -------
     int
         0 after a graceful stop, 2 for bad settings, 3 if a request was cut
-        off at the stop.
+        off at the stop, 4 if the data folder cannot be used.
     """
     parser = argparse.ArgumentParser(
         prog="medlarhollowd", description="Daemon of medlarhollow."
@@ -47,5 +51,10 @@
         print(f"{options.settings}: no faults")
         return 0
     set_up_logs(settings)
-    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-        return runner.run(run_process(settings))
+    try:
+        with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+            return runner.run(run_process(settings))
+    except FailureError as error:
+        kind = error.failure.kind.name.lower()
+        _LOG.critical("daemon: cannot start, %s: %s", kind, error)
+        return EXIT_CANNOT_START
