Build the fake administration orders in one place

Cause: the fixtures of the API and of the tool held the same lines.

Change: make_admin stands beside the fakes that both use; no check changes.

--- a/medlarhollow/admin/tests/conftest.py
+++ b/medlarhollow/admin/tests/conftest.py
@@ -1,13 +1,9 @@
 """Fixtures of the administration API."""
 
-from types import SimpleNamespace
-
 import pytest
 
-from medlarhollow.admin import FleetAdmin
-
 from .fakes import FakeReplica
-from .fakes import FakeReports
+from .fakes import make_admin
 from .fakes import serve_api
 
 
@@ -18,10 +14,5 @@
 
 @pytest.fixture
 async def api(replica, tmp_path):
-    settings = SimpleNamespace(
-        vm=SimpleNamespace(name="control-1"),
-        control=SimpleNamespace(replicas=()),
-    )
-    admin = FleetAdmin(settings, replica, None, FakeReports())
-    async with serve_api(admin, tmp_path) as served:
+    async with serve_api(make_admin(replica), tmp_path) as served:
         yield served
--- a/medlarhollow/admin/tests/fakes.py
+++ b/medlarhollow/admin/tests/fakes.py
@@ -9,6 +9,7 @@
 from result import Ok
 import uvicorn
 
+from medlarhollow.admin import FleetAdmin
 from medlarhollow.admin import make_admin_app
 from medlarhollow.admin.operators import Operators
 from medlarhollow.configuration import FleetState
@@ -77,6 +78,15 @@
         return contextlib.nullcontext()
 
 
+def make_admin(replica):
+    """Return the orders of operators on a fake replica without peers."""
+    settings = SimpleNamespace(
+        vm=SimpleNamespace(name="control-1"),
+        control=SimpleNamespace(replicas=()),
+    )
+    return FleetAdmin(settings, replica, None, FakeReports())
+
+
 @contextlib.asynccontextmanager
 async def serve_api(admin, folder):
     """Serve the API on a real connection; yields an `Api` for ana."""
--- a/medlarhollow/cli/tests/conftest.py
+++ b/medlarhollow/cli/tests/conftest.py
@@ -1,16 +1,14 @@
 """Run the operator tool against a served API."""
 
 import asyncio
-from types import SimpleNamespace
 
 import attrs
 from cleo.io.inputs.argv_input import ArgvInput
 from cleo.io.outputs.buffered_output import BufferedOutput
 import pytest
 
-from medlarhollow.admin import FleetAdmin
 from medlarhollow.admin.tests.fakes import FakeReplica
-from medlarhollow.admin.tests.fakes import FakeReports
+from medlarhollow.admin.tests.fakes import make_admin
 from medlarhollow.admin.tests.fakes import serve_api
 from medlarhollow.cli.main import make_application
 
@@ -41,12 +39,7 @@
 
 @pytest.fixture
 async def api(replica, tmp_path):
-    settings = SimpleNamespace(
-        vm=SimpleNamespace(name="control-1"),
-        control=SimpleNamespace(replicas=()),
-    )
-    admin = FleetAdmin(settings, replica, None, FakeReports())
-    async with serve_api(admin, tmp_path) as served:
+    async with serve_api(make_admin(replica), tmp_path) as served:
         yield served
 
 
