--- a/medlarhollow/admin/__init__.py
+++ b/medlarhollow/admin/__init__.py
@@ -2,5 +2,6 @@
 
 from .app import make_admin_app
 from .fleet_admin import FleetAdmin
+from .requests import Order
 
-__all__ = ["FleetAdmin", "make_admin_app"]
+__all__ = ["FleetAdmin", "Order", "make_admin_app"]
--- a/medlarhollow/admin/fleet_admin.py
+++ b/medlarhollow/admin/fleet_admin.py
@@ -70,11 +70,11 @@
             so that its state may be old.
         """
         if self._replica.is_leader:
-            return True
+            return await self._replica.confirm(_REPLICA_TIMEOUT_S)
         leader = self._replica.leader_address
         if not leader:
             return False
-        status = (await self._ask_replica(leader)).status
+        status = (await self._ask_replica(leader, confirmed=True)).status
         return status is not None and await self._reach(status.revision)
 
     async def propose(self, order, body, part=""):
@@ -211,11 +211,11 @@
             await asyncio.gather(*(self._ask_replica(a) for a in addresses))
         )
 
-    async def _ask_replica(self, address):
+    async def _ask_replica(self, address, confirmed=False):
         stub = ControlStub(self._channels.get(address))
         try:
             status = await call(
-                stub.Status, StatusRequest(), _REPLICA_TIMEOUT_S
+                stub.Status, StatusRequest(confirmed), _REPLICA_TIMEOUT_S
             )
         except _LOST as error:
             self._channels.drop(address)
--- a/medlarhollow/agreement/replica.py
+++ b/medlarhollow/agreement/replica.py
@@ -26,6 +26,7 @@
 from .elections import run_elections
 from .elections import vote
 from .formation import form_cluster
+from .joining import join_cluster
 from .ledger import Ledger
 from .log import EntryLog
 from .node import Node
@@ -39,6 +40,9 @@
 
 _LOG = logging.getLogger(__name__)
 EXIT_STORAGE_FAILED = 4
+# Time between looks at the answers of the other replicas; a round trip
+# between regions takes 40 ms.
+_CONFIRM_S = 0.01
 
 
 class Replica:
@@ -168,6 +172,7 @@
             run_compaction(self._node),
             run_elections(self._node, self._channels, random.Random()),
             form_cluster(self._node, self._channels),
+            join_cluster(self._node, self._channels),
         )
         self._tasks = [asyncio.create_task(job) for job in jobs]
         for task in self._tasks:
@@ -231,6 +236,34 @@
             request.forwarded,
         )
 
+    async def confirm(self, timeout_s):
+        """Prove that this replica still leads.
+
+        Parameters
+        ----------
+        timeout_s : float
+            Limit in seconds.
+
+        Returns
+        -------
+        bool
+            True once a quorum has answered messages that were sent after the
+            call, so that the state holds every change that was acknowledged
+            before it (the read index of Ongaro 2014, section 6.4). A leader
+            that was frozen cannot tell by its clock alone.
+        """
+        asked_at = time.monotonic()
+        node = self._node
+        while self.is_leader:
+            now = time.monotonic()
+            if node.proof_age_s(now) < now - asked_at:
+                return True
+            if now - asked_at >= timeout_s:
+                return False
+            node.wake_peers()
+            await asyncio.sleep(_CONFIRM_S)
+        return False
+
     async def wait_for_revision(self, revision, timeout_s):
         """Wait until the state has a revision above the given one.
 
--- a/medlarhollow/configuration/__init__.py
+++ b/medlarhollow/configuration/__init__.py
@@ -1,9 +1,11 @@
 """State of the fleet and the rules by which changes alter it."""
 
 from . import accounts as accounts
+from . import evacuations as evacuations
 from . import moves as moves
 from . import network as network
 from . import presets as presets
+from . import replacement as replacement
 from . import roster as roster
 from . import services as services
 from . import shares as shares
@@ -13,6 +15,8 @@
 from .keys import check_key
 from .keys import hash_secret
 from .keys import new_key
+from .keys import record_key
+from .routes import choose_destination
 from .routes import match_route
 from .state import FleetState
 from .weights import effective_weights
@@ -23,8 +27,10 @@
     "apply",
     "check_author",
     "check_key",
+    "choose_destination",
     "effective_weights",
     "hash_secret",
     "match_route",
     "new_key",
+    "record_key",
 ]
--- a/medlarhollow/configuration/accounts.py
+++ b/medlarhollow/configuration/accounts.py
@@ -14,11 +14,30 @@
 from .shares import LARGEST_FIGURE
 from .shares import lower_shares
 
-__all__ = []
+__all__ = ["remove_account"]
 
 _HASH_BYTES = 32
 
 
+def remove_account(state, name):
+    """Remove an account with its keys and shares.
+
+    Parameters
+    ----------
+    state : FleetState
+        Altered in place.
+    name : str
+        Name of an account that exists.
+    """
+    del state.accounts[name]
+    for key_id in [
+        key.key_id for key in state.keys.values() if key.account == name
+    ]:
+        del state.keys[key_id]
+    for place in [place for place in state.shares if place[0] == name]:
+        del state.shares[place]
+
+
 @apply.register
 def _put_account(change: PutAccount, state, now):
     account = change.account
@@ -46,13 +65,7 @@
 def _delete_account(change: DeleteAccount, state, now):
     if change.name not in state.accounts:
         return fail(ErrorKind.NOT_FOUND, f"no account '{change.name}'")
-    del state.accounts[change.name]
-    for key_id in [
-        key.key_id for key in state.keys.values() if key.account == change.name
-    ]:
-        del state.keys[key_id]
-    for place in [place for place in state.shares if place[0] == change.name]:
-        del state.shares[place]
+    remove_account(state, change.name)
     return Ok(None)
 
 
--- a/medlarhollow/configuration/authority.py
+++ b/medlarhollow/configuration/authority.py
@@ -8,6 +8,7 @@
 from ..messages.records import ErrorKind
 from ..messages.records import FinishMove
 from ..messages.records import SetAllocator
+from ..messages.records import SetServiceVersion
 from ..messages.records import SetShares
 from ..messages.records import SetVm
 from ..messages.records import StepMove
@@ -44,6 +45,12 @@
 
 @_is_leader_only.register
 def _leader_only(
-    body: FinishMove | SetAllocator | SetShares | SetVm | StepMove | StepShift,
+    body: FinishMove
+    | SetAllocator
+    | SetServiceVersion
+    | SetShares
+    | SetVm
+    | StepMove
+    | StepShift,
 ):
     return True
--- a/medlarhollow/configuration/keys.py
+++ b/medlarhollow/configuration/keys.py
@@ -12,7 +12,14 @@
 from ..messages.records import ErrorKind
 from ..messages.records import Key
 
-__all__ = ["KEY_PATTERN", "check_key", "hash_secret", "new_key"]
+__all__ = [
+    "KEY_PATTERN",
+    "check_key",
+    "hash_secret",
+    "identify_key",
+    "new_key",
+    "record_key",
+]
 
 _ALPHABET = string.ascii_letters + string.digits
 _ID_CHARACTERS = 16
@@ -44,6 +51,36 @@
     return f"mhk_{key_id}_{secret}", record
 
 
+def record_key(account, text):
+    """Return the record of a key that an operator chose.
+
+    Parameters
+    ----------
+    account : str
+        Name of the account.
+    text : str
+        The key, of any form.
+
+    Returns
+    -------
+    Key
+        Holds a hash only; the identifier of a key of another form than that
+        of :func:`new_key` comes from its hash.
+    """
+    key_id, secret = identify_key(text)
+    return Key(
+        key_id=key_id, account=account, secret_sha256=hash_secret(secret)
+    )
+
+
+def identify_key(text):
+    """Return the identifier and the secret part of a key's text."""
+    match = KEY_PATTERN.fullmatch(text)
+    if match is not None:
+        return match[1], match[2]
+    return hash_secret(text).hex()[:_ID_CHARACTERS], text
+
+
 def hash_secret(secret):
     """Return the SHA-256 hash of a secret.
 
@@ -72,10 +109,10 @@
     -----
     The hash is compared in constant time, also when the key is unknown.
     """
-    match = KEY_PATTERN.fullmatch(text)
-    key = state.keys.get(match[1]) if match else None
+    key_id, secret = identify_key(text)
+    key = state.keys.get(key_id)
     expected = key.secret_sha256 if key else bytes(32)
-    given = hash_secret(match[2] if match else "")
+    given = hash_secret(secret)
     if not hmac.compare_digest(given, expected) or key is None:
         return fail(ErrorKind.UNAUTHENTICATED, "the key is not valid")
     return Ok(key.account)
--- a/medlarhollow/configuration/moves.py
+++ b/medlarhollow/configuration/moves.py
@@ -23,6 +23,12 @@
 # Part of traffic of the first step, so that a version that fails at once
 # costs at most one request in a hundred.
 FIRST_STEP = 0.01
+# Largest part of traffic moved in one step, and the time between steps, where
+# the order leaves them to the system.
+_DEFAULT_CAP = 0.25
+_DEFAULT_STEP_S = 1.0
+# An order without an identifier is sent again for at most this time.
+_RESEND_S = 10.0
 # Ended moves of a service that are kept for operators to read.
 _KEPT_MOVES = 20
 
@@ -58,6 +64,10 @@
     move = change.move
     if move is None:
         return fail(ErrorKind.BAD_REQUEST, "a move is needed")
+    if not move.move_id:
+        if _is_repeated(move, state, now):
+            return Ok(None)
+        move = _fill_in(move, state)
     checked = _check_move(move, state, now)
     if checked.is_err():
         return checked
@@ -148,6 +158,25 @@
     return Ok(None)
 
 
+def _is_repeated(move, state, now):
+    """Tell whether an order without an identifier was accepted before."""
+    return any(
+        (known.service, known.to_version) == (move.service, move.to_version)
+        and now - known.started_at_s < _RESEND_S
+        for known in state.moves.values()
+    )
+
+
+def _fill_in(move, state):
+    """Return a move with what an operator may leave to the system."""
+    return attrs.evolve(
+        move,
+        move_id=f"{move.service}-{state.revision + 1}",
+        cap=move.cap or _DEFAULT_CAP,
+        step_s=move.step_s or _DEFAULT_STEP_S,
+    )
+
+
 def _fail_late(move):
     return fail(
         ErrorKind.CONFLICT,
--- /dev/null
+++ b/medlarhollow/configuration/replacement.py
@@ -0,0 +1,190 @@
+"""Replace accounts, keys, services and routes by one document."""
+
+import hashlib
+import math
+
+import attrs
+from result import Ok
+
+from ..errors import fail
+from ..messages.records import AcceptedConfiguration
+from ..messages.records import ErrorKind
+from ..messages.records import MoveState
+from ..messages.records import PutConfiguration
+from .accounts import remove_account
+from .apply import apply
+from .shares import LARGEST_FIGURE
+from .shares import lower_shares
+
+__all__ = ["ROUTE_TIMEOUT_LIMIT_S", "check_configuration"]
+
+# A longer wait for an answer is a mistake in the unit.
+ROUTE_TIMEOUT_LIMIT_S = 600.0
+
+
+def check_configuration(configuration):
+    """Return what is wrong with a configuration by itself.
+
+    Parameters
+    ----------
+    configuration : Configuration
+        As an operator wrote it.
+
+    Returns
+    -------
+    list of str
+        One sentence for each fault; empty if there is none.
+    """
+    return [
+        *_check_names(configuration),
+        *_check_accounts(configuration.accounts),
+        *_check_keys(configuration),
+        *_check_routes(configuration),
+    ]
+
+
+@apply.register
+def _put_configuration(change: PutConfiguration, state, now):
+    new = change.configuration
+    if new is None or new.version < 1:
+        return fail(ErrorKind.BAD_REQUEST, "a configuration needs a version")
+    digest = new.document_sha256
+    if len(digest) != hashlib.sha256().digest_size:
+        return fail(ErrorKind.BAD_REQUEST, "the document's digest is missing")
+    accepted = state.accepted.get(new.version)
+    if accepted is not None and accepted.sha256 == digest:
+        # Sent again, perhaps after later ones were accepted.
+        return Ok(None)
+    if change.base_version != state.configuration_version:
+        return fail(
+            ErrorKind.CONFLICT,
+            f"based on version {change.base_version}, in force is "
+            f"{state.configuration_version}",
+            revision=state.configuration_version,
+        )
+    if new.version <= state.configuration_version:
+        return fail(
+            ErrorKind.BAD_REQUEST,
+            f"version {new.version} does not follow "
+            f"{state.configuration_version}",
+        )
+    faults = check_configuration(new)
+    if faults:
+        return fail(ErrorKind.BAD_REQUEST, "; ".join(faults))
+    _replace_accounts(state, new)
+    _replace_services(state, new)
+    state.keys = {
+        key.key_id: attrs.evolve(key, issued_at_s=now) for key in new.keys
+    }
+    state.routes = {
+        (route.host, route.path_prefix): route for route in new.routes
+    }
+    state.limits = new.limits
+    state.document = new.document
+    state.configuration_version = new.version
+    state.accepted[new.version] = AcceptedConfiguration(new.version, digest)
+    return Ok(None)
+
+
+def _replace_accounts(state, new):
+    wanted = {account.name: account for account in new.accounts}
+    for name in [name for name in state.accounts if name not in wanted]:
+        remove_account(state, name)
+    for account in wanted.values():
+        state.accounts[account.name] = account
+        if account.rate_per_s:
+            lower_shares(state, account)
+
+
+def _replace_services(state, new):
+    """Replace the services, which keep their versions in force."""
+    known = state.services
+    state.services = {
+        service.name: attrs.evolve(
+            service,
+            version=known[service.name].version
+            if service.name in known
+            else service.version,
+        )
+        for service in new.services
+    }
+    for move_id, move in list(state.moves.items()):
+        if (
+            move.service not in state.services
+            and move.state is not MoveState.IN_PROGRESS
+        ):
+            del state.moves[move_id]
+    for move in state.moves.values():
+        if move.service not in state.services:
+            # Its service is kept until the move has ended.
+            state.services[move.service] = known[move.service]
+
+
+def _check_names(configuration):
+    for kind, records in (
+        ("account", configuration.accounts),
+        ("service", configuration.services),
+    ):
+        names = [record.name for record in records]
+        if "" in names:
+            yield f"{kind} without a name"
+        for name in sorted({name for name in names if names.count(name) > 1}):
+            yield f"two records for {kind} '{name}'"
+
+
+def _check_accounts(accounts):
+    for account in accounts:
+        if not 0 <= account.rate_per_s <= LARGEST_FIGURE:
+            yield f"account '{account.name}' has a rate out of range"
+        elif account.rate_per_s and not 0 <= account.burst <= LARGEST_FIGURE:
+            yield f"account '{account.name}' has a burst out of range"
+
+
+def _check_keys(configuration):
+    names = {account.name for account in configuration.accounts}
+    holders = {}
+    for key in configuration.keys:
+        if key.account not in names:
+            yield f"a key belongs to the unknown account '{key.account}'"
+        holder = holders.setdefault(key.key_id, key.account)
+        if holder != key.account:
+            yield f"accounts '{holder}' and '{key.account}' share a key"
+
+
+def _check_routes(configuration):
+    services = {service.name for service in configuration.services}
+    places = set()
+    for route in configuration.routes:
+        place = f"route '{route.host}{route.path_prefix}'"
+        if (route.host, route.path_prefix) in places:
+            yield f"two records for {place}"
+        places.add((route.host, route.path_prefix))
+        if not route.path_prefix.startswith("/"):
+            yield f"{place} needs a path prefix that begins with a slash"
+        if not 0 < route.timeout_s <= ROUTE_TIMEOUT_LIMIT_S:
+            yield (
+                f"{place} needs a timeout above 0 and up to "
+                f"{ROUTE_TIMEOUT_LIMIT_S:g} s"
+            )
+        if not route.attempts:
+            yield f"{place} allows no attempt"
+        for name in _list_services(route):
+            if name not in services:
+                yield f"{place} names the unknown service '{name}'"
+        yield from _check_split(place, route)
+
+
+def _list_services(route):
+    if route.split:
+        return [part.service for part in route.split]
+    return [route.service]
+
+
+def _check_split(place, route):
+    if not route.split:
+        return
+    weights = [part.weight for part in route.split]
+    if not all(0 <= weight < math.inf for weight in weights):
+        yield f"{place} has a weight out of range"
+    elif not sum(weights):
+        yield f"{place} has a split without weight"
--- a/medlarhollow/configuration/routes.py
+++ b/medlarhollow/configuration/routes.py
@@ -1,6 +1,6 @@
 """Find the route of a request."""
 
-__all__ = ["match_route"]
+__all__ = ["choose_destination", "match_route"]
 
 
 def match_route(state, host, path):
@@ -34,6 +34,30 @@
     return None
 
 
+def choose_destination(route, point):
+    """Return the service that gets a request of a divided route.
+
+    Parameters
+    ----------
+    route : Route
+        Its `split` is not empty and has some weight.
+    point : float
+        Position of the request in 0 to 1.
+
+    Returns
+    -------
+    str
+        Name of the service.
+    """
+    left = point * sum(part.weight for part in route.split)
+    for part in route.split:
+        if left < part.weight:
+            return part.service
+        left -= part.weight
+    # Rounding: the last part that gets requests.
+    return [part.service for part in route.split if part.weight][-1]
+
+
 def _prefixes(path):
     yield path
     end = len(path)
--- a/medlarhollow/configuration/services.py
+++ b/medlarhollow/configuration/services.py
@@ -1,5 +1,6 @@
 """Changes of services and routes."""
 
+import attrs
 from result import Ok
 
 from ..errors import fail
@@ -9,6 +10,7 @@
 from ..messages.records import MoveState
 from ..messages.records import PutRoute
 from ..messages.records import PutService
+from ..messages.records import SetServiceVersion
 from .apply import apply
 from .names import check_name
 
@@ -42,6 +44,22 @@
     return Ok(None)
 
 
+@apply.register
+def _set_service_version(change: SetServiceVersion, state, now):
+    known = state.services.get(change.service)
+    if known is None:
+        return fail(ErrorKind.NOT_FOUND, f"no service '{change.service}'")
+    if known.version or not change.version:
+        return fail(
+            ErrorKind.CONFLICT,
+            f"'{change.service}' is at version '{known.version}'",
+        )
+    state.services[change.service] = attrs.evolve(
+        known, version=change.version
+    )
+    return Ok(None)
+
+
 @apply.register
 def _delete_service(change: DeleteService, state, now):
     if change.name not in state.services:
--- a/medlarhollow/configuration/state.py
+++ b/medlarhollow/configuration/state.py
@@ -39,6 +39,17 @@
         falls, since a VM that is cut off may still hold the route as it was.
     shift : Shift or None
         The preset in force and how far the shift to it has come.
+    configuration_version : int
+        Version of the document that accounts, keys, services and routes
+        come from; 0 if they were put one by one.
+    accepted : dict of int to AcceptedConfiguration
+        Every document that was accepted, by version.
+    document : bytes
+        That document as the operator wrote it; empty on entry VMs.
+    limits : CallerLimits or None
+        What callers may send.
+    evacuations : dict of str to Evacuation
+        Data centres whose backend servers get no new work.
     """
 
     cluster: str = ""
@@ -59,6 +70,11 @@
     vms: dict = attrs.field(factory=dict)
     shares: dict = attrs.field(factory=dict)
     allocators: dict = attrs.field(factory=dict)
+    configuration_version: int = 0
+    accepted: dict = attrs.field(factory=dict)
+    document: bytes = attrs.field(default=b"", repr=False)
+    limits: object = None
+    evacuations: dict = attrs.field(factory=dict)
 
     def snapshot(self):
         """Return the state as a record.
@@ -76,6 +92,9 @@
             blocks_revision=self.blocks_revision,
             longest_stale_keys_s=self.longest_stale_keys_s,
             shift=self.shift,
+            configuration_version=self.configuration_version,
+            document=self.document,
+            limits=self.limits,
             **{
                 name: tuple(records[key] for key in sorted(records))
                 for name, records in self._tables()
@@ -104,6 +123,9 @@
             blocks_revision=snapshot.blocks_revision,
             longest_stale_keys_s=snapshot.longest_stale_keys_s,
             shift=snapshot.shift,
+            configuration_version=snapshot.configuration_version,
+            document=snapshot.document,
+            limits=snapshot.limits,
         )
         for name, table in state._tables():
             for record in getattr(snapshot, name):
@@ -126,4 +148,6 @@
     "vms": lambda record: record.name,
     "shares": lambda record: (record.account, record.data_centre),
     "allocators": lambda record: record.data_centre,
+    "accepted": lambda record: record.version,
+    "evacuations": lambda record: record.data_centre,
 }
--- a/medlarhollow/control/duties.py
+++ b/medlarhollow/control/duties.py
@@ -15,6 +15,7 @@
 from .roster import plan_roster
 from .shares import plan_shares
 from .shifts import plan_shift
+from .versions import plan_versions
 
 __all__ = ["DUTY_S", "Duties"]
 
@@ -37,12 +38,15 @@
         The replica of this process.
     reports : Reports
         Reports and samples of VMs.
+    directory : Directory
+        Backend servers known here; empty unless this process is a registry.
     """
 
-    def __init__(self, settings, replica, reports):
+    def __init__(self, settings, replica, reports, directory):
         self._settings = settings
         self._replica = replica
         self._reports = reports
+        self._directory = directory
         self._round = None
 
     async def run(self):
@@ -63,9 +67,13 @@
             self._round = Round(self._settings, now)
         reports = self._reports.vms(now, self._settings.control.vm_lease_s)
         versions, demands = self._reports.take_samples()
-        return self._round.plan(
-            self._replica.state, reports, versions, demands, now, unix_now
-        )
+        state = self._replica.state
+        return [
+            *plan_versions(state, self._directory, now),
+            *self._round.plan(
+                state, reports, versions, demands, now, unix_now
+            ),
+        ]
 
     async def _propose(self, body):
         change = Change(request_id=uuid.uuid4().hex, body=body)
--- a/medlarhollow/control/service.py
+++ b/medlarhollow/control/service.py
@@ -2,11 +2,17 @@
 
 import time
 
+from grpclib.const import Status
+from grpclib.exceptions import GRPCError
+
 from ..messages.records import ProposeResponse
 from ..messages.services import ControlBase
 
 __all__ = ["ControlService"]
 
+# Limit for the proof of leadership, several round trips between regions.
+_CONFIRM_S = 0.5
+
 
 class ControlService(ControlBase):
     """Take changes from entry VMs and other replicas.
@@ -32,7 +38,11 @@
 
     async def Status(self, stream):
         """Answer the status of this replica."""
-        await stream.recv_message()
+        request = await stream.recv_message()
+        if request is None:
+            return
+        if request.confirmed and not await self._replica.confirm(_CONFIRM_S):
+            raise GRPCError(Status.UNAVAILABLE, "no quorum follows")
         await stream.send_message(self._replica.status(time.monotonic()))
 
     async def SetReplicas(self, stream):
--- a/medlarhollow/daemon/process.py
+++ b/medlarhollow/daemon/process.py
@@ -7,8 +7,6 @@
 import uuid
 
 from ..admin import FleetAdmin
-from ..admin import make_admin_app
-from ..admin.operators import Operators
 from ..agreement import RaftService
 from ..agreement import Replica
 from ..control import ControlClient
@@ -21,8 +19,6 @@
 from ..entry import BackendClient
 from ..entry import Drain
 from ..entry import EntryVm
-from ..entry import make_announce_app
-from ..entry import make_caller_app
 from ..limits import Limiter
 from ..limits import ShareAllocator
 from ..membership import Directory
@@ -39,6 +35,7 @@
 from ..transport import Channels
 from ..transport import PeerServer
 from ..transport.secret import read_secret
+from .doors import Frontend
 from .fleet_service import FleetService
 from .http import HttpServer
 
@@ -48,20 +45,22 @@
 EXIT_CUT = 3
 
 
-async def run_process(settings):
+async def run_process(settings, frontend=None):
     """Run the roles of this process until SIGTERM or SIGINT.
 
     Parameters
     ----------
     settings : Settings
         The settings of the process.
+    frontend : Frontend or None
+        Front doors; None for the project's own.
 
     Returns
     -------
     int
         Exit code.
     """
-    return await Process(settings).run()
+    return await Process(settings, frontend or Frontend()).run()
 
 
 class Process:
@@ -71,9 +70,12 @@
     ----------
     settings : Settings
         The settings of the process.
+    frontend : Frontend
+        Front doors.
     """
 
-    def __init__(self, settings):
+    def __init__(self, settings, frontend):
+        self._frontend = frontend
         self._settings = settings
         self._stop = asyncio.Event()
         self._closing = asyncio.Event()
@@ -189,14 +191,17 @@
             self._settings,
             self._replica,
         )
+        if {"entry", "registry"} & set(self._settings.vm.roles):
+            yield self._exchange.run()
         if "entry" in self._settings.vm.roles:
             yield self._limiter.run()
-            yield self._exchange.run()
             yield self._dispatcher.run()
             yield self._report_samples()
             yield self._regions.run()
         if self._replica is not None:
-            duties = Duties(self._settings, self._replica, self._reports)
+            duties = Duties(
+                self._settings, self._replica, self._reports, self._directory
+            )
             yield duties.run()
 
     def _source(self):
@@ -222,8 +227,16 @@
             caller_address=self._caller_address(),
             peer_address=own.peer.advertise or own.peer.listen,
             state=self._state,
+            announce_address=self._announce_address(),
         )
 
+    def _announce_address(self):
+        """Return where the whole fleet's announcements are taken."""
+        own = self._settings
+        if "registry" not in own.vm.roles:
+            return ""
+        return own.entry.announce_listen
+
     def _caller_address(self):
         own = self._settings
         if "entry" not in own.vm.roles:
@@ -246,7 +259,7 @@
     async def _serve_front_doors(self):
         """Serve until the stop; return the number of requests cut."""
         async with BackendClient(self._settings) as client:
-            servers = list(self._front_doors(client))
+            servers = self._front_doors(client)
             await asyncio.gather(
                 self._announce_stop(),
                 *(server.serve_until(self._closing) for server in servers),
@@ -264,6 +277,7 @@
         _LOG.info("daemon: draining")
         self._state = VmState.DRAINING
         self._drain.begin()
+        self._exchange.wake()
         if "entry" in self._settings.vm.roles:
             await asyncio.sleep(self._settings.entry.drain_notice_s)
         self._drain.close()
@@ -287,24 +301,21 @@
             secret=read_secret(own.peer),
             drain=self._drain,
             regions=self._regions,
+            dialect=self._frontend.dialect,
         )
 
     def _front_doors(self, client):
         own = self._settings
-        if "entry" in own.vm.roles:
-            vm = self._entry_vm(client)
-            self._telemetry.observe("queue_length", lambda: vm.waiting)
-            yield self._front_door(make_caller_app(vm), own.entry.listen)
-            yield self._front_door(
-                make_announce_app(vm), own.entry.announce_listen
-            )
+        vm = self._entry_vm(client)
+        self._telemetry.observe("queue_length", lambda: vm.waiting)
+        admin = None
         if self._replica is not None:
             admin = FleetAdmin(
                 own, self._replica, self._channels, self._reports
             )
-            app = make_admin_app(admin, Operators(own))
-            yield self._front_door(app, own.admin.listen)
-
-    def _front_door(self, app, address):
-        entry = self._settings.entry
-        return HttpServer(app, address, entry.drain_limit_s, entry)
+        return [
+            HttpServer(
+                door.app, door.address, own.entry.drain_limit_s, own.entry
+            )
+            for door in self._frontend.list_doors(vm, admin)
+        ]
--- a/medlarhollow/distribution/copy.py
+++ b/medlarhollow/distribution/copy.py
@@ -39,6 +39,11 @@
         """History : recent changes, for VMs that follow this one."""
         return self._history
 
+    @property
+    def is_known(self):
+        """Whether a quorum's authority was ever proved to this VM."""
+        return self._proof_time_s > float("-inf")
+
     def freshness_age_s(self, now):
         """Return the age of the last proof of a quorum's authority.
 
--- a/medlarhollow/distribution/serve.py
+++ b/medlarhollow/distribution/serve.py
@@ -5,8 +5,11 @@
 import math
 import time
 
+import attrs
+
 from ..messages.records import ErrorKind
 from ..messages.records import Failure
+from ..messages.records import PutConfiguration
 from ..messages.records import SyncResponse
 
 __all__ = ["HOLD_S", "answer_sync", "serve_sync"]
@@ -93,7 +96,9 @@
     if request.revision < source.state.revision:
         commits = source.history.after(request.revision)
         if commits is None:
-            commits, snapshot = (), source.state.snapshot()
+            commits = ()
+            snapshot = attrs.evolve(source.state.snapshot(), document=b"")
+        commits = tuple(map(_without_document, commits))
     # A downstream VM that is ahead must not count this upstream's proof for
     # a state that the proof does not cover.
     covered = request.revision <= source.state.revision
@@ -105,3 +110,17 @@
         commits=commits,
         snapshot=snapshot,
     )
+
+
+def _without_document(commit):
+    """Return a commit without what only control replicas keep."""
+    body = commit.change.body
+    if not isinstance(body, PutConfiguration):
+        return commit
+    bare = attrs.evolve(body.configuration, document=b"")
+    return attrs.evolve(
+        commit,
+        change=attrs.evolve(
+            commit.change, body=attrs.evolve(body, configuration=bare)
+        ),
+    )
--- a/medlarhollow/entry/admission.py
+++ b/medlarhollow/entry/admission.py
@@ -8,8 +8,9 @@
 from result import Ok
 
 from ..configuration import check_key
+from ..configuration import choose_destination
 from ..configuration import match_route
-from ..configuration.keys import KEY_PATTERN
+from ..configuration.keys import identify_key
 from ..errors import fail
 from ..messages.records import ErrorKind
 from ..requests import choose_timeout
@@ -18,12 +19,12 @@
 from ..steering import Demand
 from ..transport.channel import SECRET_HEADER
 from ..transport.secret import same_secret
+from .dialect import read_key
 from .headers import ACCOUNT_HEADER
 from .headers import CLAIMED_HEADER
 from .headers import DEADLINE_HEADER
 from .headers import FORWARDED_HEADER
 from .headers import IDEMPOTENCY_HEADER
-from .headers import KEY_HEADER
 from .headers import KEY_ID_HEADER
 from .headers import read_single
 from .headers import REQUEST_ID_HEADER
@@ -90,6 +91,10 @@
     """
     if vm.drain.closing:
         return fail(ErrorKind.DRAINING, "this VM is stopping")
+    if not vm.copy.is_known:
+        return fail(
+            ErrorKind.STALE_AUTHORITY, "this VM has no configuration yet"
+        )
     route = _find_route(vm.copy.state, caller)
     if route.is_err():
         return route
@@ -97,16 +102,16 @@
     if single.is_err():
         return single
     values = single.ok_value
+    key = read_key(caller.headers, vm.dialect)
+    if key.is_err():
+        return key
     timeout = choose_timeout(
         values[DEADLINE_HEADER], route.ok_value, vm.settings
     )
     if timeout.is_err():
         return timeout
-    demand = Demand(
-        route.ok_value, "", now + timeout.ok_value, random.random()
-    )
     admission = Admission(
-        demand,
+        _make_demand(vm, caller, route.ok_value, now + timeout.ok_value),
         _choose_request_id(values[REQUEST_ID_HEADER]),
         idempotent=route.ok_value.idempotent,
     )
@@ -114,7 +119,7 @@
         return _admit_forwarded(vm, admission, values)
     if route.ok_value.open:
         return Ok(admission)
-    return _admit_keyed(vm, admission, values, now)
+    return _admit_keyed(vm, admission, key.ok_value, values, now)
 
 
 def check_again(vm, admission, now):
@@ -173,7 +178,6 @@
         DEADLINE_HEADER,
         FORWARDED_HEADER,
         IDEMPOTENCY_HEADER,
-        KEY_HEADER,
         KEY_ID_HEADER,
         REQUEST_ID_HEADER,
         SECRET_HEADER,
@@ -227,14 +231,13 @@
     )
 
 
-def _admit_keyed(vm, admission, values, now):
+def _admit_keyed(vm, admission, key, values, now):
     route = admission.demand.route
-    key = values[KEY_HEADER] or ""
     checked = _check_key(vm, route, key, now)
     if checked.is_err():
         return checked
     idempotency_key = ""
-    if not route.idempotent:
+    if not route.idempotent and not route.unclaimed:
         parsed = parse_idempotency_key(values[IDEMPOTENCY_HEADER] or "")
         if parsed.is_err():
             return parsed
@@ -242,14 +245,44 @@
     return Ok(
         attrs.evolve(
             admission,
-            demand=attrs.evolve(admission.demand, account=checked.ok_value),
+            demand=_with_account(vm, admission.demand, checked.ok_value),
             key=key,
-            key_id=KEY_PATTERN.fullmatch(key)[1],
+            key_id=identify_key(key)[0],
             idempotency_key=idempotency_key,
         )
     )
 
 
+def _make_demand(vm, caller, route, deadline_at):
+    """Return what steering needs to know of a request."""
+    point = random.random()
+    if route.split:
+        # One draw decides the service, another one the version.
+        service = choose_destination(route, random.random())
+        route = attrs.evolve(route, service=service)
+    affinity = ""
+    if route.sticky:
+        affinity = caller.headers.get(vm.dialect.affinity, "")
+    return Demand(
+        route,
+        "",
+        deadline_at,
+        point,
+        affinity=affinity and f"{route.path_prefix} {affinity}",
+        home_regions=frozenset(route.home_regions),
+    )
+
+
+def _with_account(vm, demand, name):
+    """Return the demand of an account; its home regions bind as well."""
+    account = vm.copy.state.accounts.get(name)
+    homes = demand.home_regions
+    if account is not None and account.home_regions:
+        own = frozenset(account.home_regions)
+        homes = homes & own if homes else own
+    return attrs.evolve(demand, account=name, home_regions=homes)
+
+
 def _check_key(vm, route, key, now):
     limit_s = max(vm.settings.limits.key_freshness_limit_s, route.stale_keys_s)
     if vm.copy.freshness_age_s(now) > limit_s:
--- a/medlarhollow/entry/answers.py
+++ b/medlarhollow/entry/answers.py
@@ -22,6 +22,7 @@
     "make_failure_answer",
     "make_replay",
     "serving_vms",
+    "takes_callers",
 ]
 
 _BODILESS = frozenset({204, 304})
@@ -151,26 +152,35 @@
         Serving VMs that are alive, without this one while it drains.
     """
     now = time.monotonic()
-    peers = vm.directory.peers
-    own = vm.settings.vm.name
-
-    def takes_callers(entry):
-        if entry.name == own:
-            return not vm.drain.draining
-        return peers.takes_callers(entry, now)
-
     state = vm.copy.state
     if count is None:
         count = len(state.vms)
     return vm.lookups.list(
         state,
         caller_region,
-        takes_callers=takes_callers,
+        takes_callers=lambda entry: takes_callers(vm, entry, now),
         spread=spread,
         count=count,
     )
 
 
+def takes_callers(vm, entry, now):
+    """Tell whether an entry VM of the roster should be named to callers.
+
+    Parameters
+    ----------
+    vm : EntryVm
+        This VM, which hears others.
+    entry : Vm
+        From the roster.
+    now : float
+        Monotonic time in seconds.
+    """
+    if entry.name == vm.settings.vm.name:
+        return not vm.drain.draining
+    return vm.directory.peers.takes_callers(entry, now)
+
+
 def list_elsewhere(vm):
     """Return entry VMs of other data centres.
 
--- a/medlarhollow/entry/attempts.py
+++ b/medlarhollow/entry/attempts.py
@@ -1,6 +1,7 @@
 """Send a request to a backend server and stream the answer."""
 
 import asyncio
+import logging
 import time
 
 import attrs
@@ -23,6 +24,7 @@
 from .caller import CallerGoneError
 from .caller import RedactedBody
 from .claiming import Recorder
+from .dialect import read_load
 from .headers import ACCOUNT_HEADER
 from .headers import CLAIMED_HEADER
 from .headers import DEADLINE_HEADER
@@ -36,7 +38,11 @@
 
 __all__ = ["Run", "serve_attempts"]
 
+_LOG = logging.getLogger(__name__)
+# Backend servers that one request may be sent to unless its route says so.
 _ATTEMPTS = 3
+_MISDIRECTED = 421
+_SUCCESSES = range(200, 300)
 _BODILESS = frozenset({204, 304})
 # A retry is made only if another server is free at once or very soon;
 # otherwise the first one keeps the request.
@@ -189,10 +195,14 @@
         slot.finish(answer)
         run.sent = before or may_have_run(answer)
         return answer
-    end = _judge(answer, slot)
+    end = _judge(answer, slot, vm.dialect, admission.request_id)
+    _note_load(vm, answer, slot)
     slot.finish(end)
     run.sent = before or may_have_run(end)
     try:
+        if isinstance(end, Unanswered):
+            # What else arrives on such connections belongs to no request.
+            await vm.client.forget(slot.address)
         if not isinstance(end, Answered):
             return end
         if may_retry(end, admission.idempotent) and await _reserve(
@@ -222,9 +232,9 @@
     answer = None
     try:
         if admission.idempotent and caller.is_held:
-            # A silent server may use half of the time that is left.
-            half_s = (admission.demand.deadline_at - time.monotonic()) / 2
-            await asyncio.wait({sending}, timeout=half_s)
+            left_s = admission.demand.deadline_at - time.monotonic()
+            patience_s = left_s * vm.settings.entry.silent_part
+            await asyncio.wait({sending}, timeout=patience_s)
             if not sending.done() and await _reserve(
                 vm, caller, admission, run
             ):
@@ -252,8 +262,23 @@
             await answer.close()
 
 
-def _judge(answer, slot):
+def _judge(answer, slot, dialect, request_id):
     """Return the end of an attempt whose head arrived."""
+    headers = answer.headers
+    if dialect.echoes_request_id and not slot.remote:
+        echoed = headers.get(REQUEST_ID_HEADER, request_id)
+        if echoed != request_id:
+            return Unanswered(f"{slot.address} answered another request")
+    if dialect.not_run and dialect.not_run in headers:
+        return Refused(f"{slot.address} refused with {answer.status}")
+    if dialect.server and answer.status == _MISDIRECTED:
+        return Refused(f"{slot.address} is another server")
+    if (
+        dialect.seal
+        and answer.status in _SUCCESSES
+        and dialect.seal not in headers
+    ):
+        return Unanswered(f"{slot.address} answered without a seal")
     if slot.remote:
         outcome = answer.headers.get(OUTCOME_HEADER)
         detail = f"{slot.address} answered {answer.status}"
@@ -264,6 +289,17 @@
     return Answered(answer.status)
 
 
+def _note_load(vm, answer, slot):
+    """Pass on the load that a server reports with its answer."""
+    load = read_load(answer.headers, vm.dialect)
+    if load.is_err():
+        _LOG.info("entry: %s: %s", slot.address, load.err_value.detail)
+    elif load.ok_value is not None:
+        vm.dispatcher.note_load(
+            slot.assignment, load.ok_value, time.monotonic()
+        )
+
+
 async def _stream(vm, caller, admission, run, answer):
     headers = filter_answer_headers(answer.raw_headers)
     if answer.status in _BODILESS:
@@ -307,7 +343,7 @@
 
 
 def _make_headers(vm, caller, admission, slot):
-    headers = filter_request_headers(caller.headers.raw)
+    headers = filter_request_headers(caller.headers.raw, vm.dialect.set_by_vm)
     deadline_at = admission.demand.deadline_at
     headers += [
         (REQUEST_ID_HEADER, admission.request_id),
@@ -318,6 +354,10 @@
     if trace:
         headers = [pair for pair in headers if pair[0].lower() not in trace]
         headers += trace.items()
+    if vm.dialect.server and not slot.remote:
+        headers.append((vm.dialect.server, slot.server_id))
+    if vm.dialect.account and admission.demand.account:
+        headers.append((vm.dialect.account, admission.demand.account))
     if slot.remote:
         headers += [
             (SECRET_HEADER, vm.secret),
@@ -332,7 +372,7 @@
 
 def _has_time(caller, admission, run):
     return (
-        run.number < _ATTEMPTS
+        run.number < (admission.demand.route.attempts or _ATTEMPTS)
         and caller.can_replay
         and time.monotonic() < admission.demand.deadline_at
     )
--- a/medlarhollow/entry/callers.py
+++ b/medlarhollow/entry/callers.py
@@ -14,7 +14,7 @@
 from .answers import serving_vms
 from .proxy import Proxy
 
-__all__ = ["make_caller_app"]
+__all__ = ["make_caller_app", "make_request_app"]
 
 
 def make_caller_app(vm):
@@ -58,17 +58,46 @@
             headers={"cache-control": f"max-age={entry.lookup_ttl_s:g}"},
         )
 
-    app = Starlette(
-        routes=[
-            Route("/v1/lookup", lookup, methods=["GET"]),
-            Mount("/", app=Proxy(vm)),
-        ],
-        exception_handlers={Exception: _answer_unexpected},
+    return close_while_draining(
+        Starlette(
+            routes=[
+                Route("/v1/lookup", lookup, methods=["GET"]),
+                Mount("/", app=Proxy(vm)),
+            ],
+            exception_handlers={Exception: _answer_unexpected},
+        ),
+        vm.drain,
     )
 
+
+def make_request_app(vm):
+    """Return the HTTP application for requests alone.
+
+    Parameters
+    ----------
+    vm : EntryVm
+        The parts of this entry VM.
+
+    Returns
+    -------
+    callable
+        ASGI application that takes each path for a request to a service.
+    """
+    return close_while_draining(
+        Starlette(
+            routes=[Mount("/", app=Proxy(vm))],
+            exception_handlers={Exception: _answer_unexpected},
+        ),
+        vm.drain,
+    )
+
+
+def close_while_draining(app, drain):
+    """Return an application whose answers close connections in a drain."""
+
     async def serve(scope, receive, send):
         async def send_draining(message):
-            if message["type"] == "http.response.start" and vm.drain.draining:
+            if message["type"] == "http.response.start" and drain.draining:
                 headers = [*message["headers"], (b"connection", b"close")]
                 message = {**message, "headers": headers}
             await send(message)
--- /dev/null
+++ b/medlarhollow/entry/dialect.py
@@ -0,0 +1,112 @@
+"""Names of the headers that callers and backend servers use."""
+
+import attrs
+from result import Ok
+
+from ..errors import fail
+from ..messages.records import ErrorKind
+from ..steering import ServerLoad
+from .headers import KEY_HEADER
+from .headers import read_single
+
+__all__ = ["Dialect", "read_key", "read_load"]
+
+_LOAD_FIELDS = 3
+
+
+@attrs.frozen
+class Dialect:
+    """Headers that may be named otherwise by another front end.
+
+    An empty name stands for a header that is not used.
+
+    Attributes
+    ----------
+    key : str
+        Header with the caller's key.
+    key_scheme : str
+        Word before the key in its header, as in ``Authorization``.
+    affinity : str
+        Header that names the object that a request is about.
+    account : str
+        Header that tells a backend server the client account.
+    server : str
+        Header that names the backend server a request is meant for; another
+        one at its address answers 421.
+    not_run : str
+        Header with which a backend server says that it did not run a request.
+    seal : str
+        Header that each whole success of a backend server carries.
+    load : str
+        Header with a backend server's running and waiting requests and its
+        slots, separated by commas.
+    echoes_request_id : bool
+        Whether answers of backend servers carry the request's identifier, by
+        which an answer to another request is recognised.
+    """
+
+    key: str = KEY_HEADER
+    key_scheme: str = ""
+    affinity: str = "x-medlarhollow-affinity"
+    account: str = ""
+    server: str = ""
+    not_run: str = ""
+    seal: str = ""
+    load: str = ""
+    echoes_request_id: bool = False
+
+    @property
+    def set_by_vm(self):
+        """Frozenset of str : headers that callers must not set."""
+        return frozenset({self.account, self.server, self.key} - {""})
+
+
+def read_key(headers, dialect):
+    """Return the key that came with a request.
+
+    Parameters
+    ----------
+    headers : starlette.datastructures.Headers
+        Headers of the request.
+    dialect : Dialect
+        Names the header.
+
+    Returns
+    -------
+    result.Result
+        ``Ok`` with the key, empty if there is none, or ``BAD_REQUEST``.
+    """
+    single = read_single(headers, dialect.key)
+    if single.is_err() or not dialect.key_scheme:
+        return single.map(lambda value: value or "")
+    scheme, _, key = (single.ok_value or "").partition(" ")
+    if scheme.lower() != dialect.key_scheme.lower():
+        return Ok("")
+    return Ok(key.strip())
+
+
+def read_load(headers, dialect):
+    """Return the load that a backend server reports with an answer.
+
+    Parameters
+    ----------
+    headers : Mapping
+        Headers of the answer.
+    dialect : Dialect
+        Names the header.
+
+    Returns
+    -------
+    result.Result
+        ``Ok(ServerLoad)``, ``Ok(None)`` without a report, or
+        ``BACKEND_FAILED`` if it cannot be read.
+    """
+    text = headers.get(dialect.load) if dialect.load else None
+    if text is None:
+        return Ok(None)
+    parts = text.split(",")
+    if len(parts) != _LOAD_FIELDS or not all(
+        part.strip().isdecimal() for part in parts
+    ):
+        return fail(ErrorKind.BACKEND_FAILED, f"load report {text!r}")
+    return Ok(ServerLoad(*map(int, parts)))
--- a/medlarhollow/entry/headers.py
+++ b/medlarhollow/entry/headers.py
@@ -85,13 +85,15 @@
     return Ok(values[0] if values else None)
 
 
-def filter_request_headers(raw):
+def filter_request_headers(raw, set_by_vm=frozenset()):
     """Return the headers of a request that are passed on.
 
     Parameters
     ----------
     raw : iterable of (bytes, bytes)
         Names in lower case and values, as received.
+    set_by_vm : frozenset of str
+        Further headers that only an entry VM may set.
 
     Returns
     -------
@@ -100,7 +102,7 @@
         overwritten, and a header whose name contains one is dropped.
     """
     pairs = [(_decode(name), _decode(value)) for name, value in raw]
-    dropped = _HOP_HEADERS | _REPLACED | _nominated(pairs)
+    dropped = _HOP_HEADERS | _REPLACED | _nominated(pairs) | set_by_vm
     return [
         (name, redact_text(value))
         for name, value in pairs
--- a/medlarhollow/entry/proxy.py
+++ b/medlarhollow/entry/proxy.py
@@ -84,7 +84,7 @@
         vm = self._vm
         vm.budget.count_request()
         demand = admission.demand
-        if demand.account and not admission.forwarded:
+        if self._is_limited(demand.account) and not admission.forwarded:
             with vm.telemetry.span("entry.token"):
                 token = await vm.wait_in_queue(
                     vm.limiter.admit(demand.account, demand.deadline_at)
@@ -99,6 +99,11 @@
             return await self._answer_failure(caller, result.err_value)
         return _SERVED
 
+    def _is_limited(self, name):
+        """Tell whether an account has a limit; a rate of 0 stands for none."""
+        account = self._vm.copy.state.accounts.get(name)
+        return bool(name) and (account is None or account.rate_per_s > 0)
+
     async def _serve_claimed(self, caller, admission):
         """Serve in a task that ends even if the caller leaves.
 
--- a/medlarhollow/entry/slot.py
+++ b/medlarhollow/entry/slot.py
@@ -50,6 +50,11 @@
         """Identifier of the server."""
         return self._assignment.server.server_id
 
+    @property
+    def assignment(self):
+        """Assignment that is held."""
+        return self._assignment
+
     @property
     def remote(self):
         """Whether it is an entry VM of another data centre."""
--- a/medlarhollow/entry/tests/stand_ins.py
+++ b/medlarhollow/entry/tests/stand_ins.py
@@ -164,6 +164,8 @@
 class FakeCopy:
     """Agreed state that the test sets."""
 
+    is_known = True
+
     def __init__(self):
         self.state = FleetState(cluster="x", revision=1)
         self.age_s = 0.0
--- a/medlarhollow/entry/vm.py
+++ b/medlarhollow/entry/vm.py
@@ -15,6 +15,7 @@
 from ..steering import Dispatcher
 from ..telemetry import Telemetry
 from .backend_client import BackendClient
+from .dialect import Dialect
 from .drain import Drain
 
 __all__ = ["EntryVm"]
@@ -52,6 +53,8 @@
         Regions of callers by client block.
     lookups : LookupOrder
         Order of the entry VMs named to callers.
+    dialect : Dialect
+        Names of the headers.
     waiting : int
         Requests that wait for a token or a slot.
     """
@@ -82,6 +85,7 @@
             lambda self: LookupOrder(self.settings), takes_self=True
         )
     )
+    dialect: Dialect = attrs.field(factory=Dialect)
     waiting: int = 0
 
     async def wait_in_queue(self, waiting):
--- a/medlarhollow/membership/directory.py
+++ b/medlarhollow/membership/directory.py
@@ -1,11 +1,15 @@
 """Directory of the backend servers of a data centre."""
 
+import collections
+
 import attrs
 
 from .peers import PeerTable
 
-__all__ = ["Directory", "ServerView"]
+__all__ = ["Directory", "ServerView", "is_later"]
 
+# Follows every sequence number that a process counts up to.
+_LEFT_SEQUENCE = 1 << 62
 # A record without a lease is kept for this many leases.
 _KEPT_LEASES = 10
 
@@ -90,8 +94,10 @@
             Monotonic time in seconds.
         """
         known = self._entries.get(server.server_id)
-        sequence = known.server.sequence + 1 if known else 1
-        server = attrs.evolve(server, sequence=sequence, in_flight=0)
+        if not server.started_at_ms:
+            sequence = known.server.sequence + 1 if known else 1
+            server = attrs.evolve(server, sequence=sequence)
+        server = attrs.evolve(server, in_flight=0)
         is_change = (
             known is None
             or known.expires_at <= now
@@ -106,6 +112,62 @@
             for listener in self._listeners:
                 listener()
 
+    def leave(self, server_id, now):
+        """Take a server's word that it stops; later announcements are late.
+
+        Parameters
+        ----------
+        server_id : str
+            Identifier of a server.
+        now : float
+            Monotonic time in seconds.
+
+        Returns
+        -------
+        bool
+            Whether the server is known here.
+        """
+        known = self._entries.get(server_id)
+        if known is None:
+            return False
+        left = attrs.evolve(
+            known.server,
+            leaving=True,
+            sequence=max(known.server.sequence + 1, _LEFT_SEQUENCE),
+        )
+        self._put(left, self._own_name, now + self._settings.lease_s, now, now)
+        for listener in self._listeners:
+            listener()
+        return True
+
+    def find(self, server_id):
+        """Return the latest record of a server, or None."""
+        entry = self._entries.get(server_id)
+        return None if entry is None else entry.server
+
+    def versions(self, service, now):
+        """Return how many servers of a service run each version.
+
+        Parameters
+        ----------
+        service : str
+            Name of the service.
+        now : float
+            Monotonic time in seconds.
+
+        Returns
+        -------
+        collections.Counter
+            By version, of the servers with a lease that are not leaving.
+        """
+        return collections.Counter(
+            entry.server.version
+            for entry in self._entries.values()
+            if entry.server.service == service
+            and not entry.server.leaving
+            and entry.expires_at > now
+        )
+
     def servers(self, service, version, now):
         """Return the servers that may get new work.
 
@@ -149,6 +211,10 @@
             for entry in self._usable(service, version, now)
         ]
 
+    def has_servers(self, now):
+        """Tell whether any server holds a lease."""
+        return any(entry.expires_at > now for entry in self._entries.values())
+
     def known(self):
         """Return the identifiers of all servers that are remembered."""
         return set(self._entries)
@@ -213,7 +279,9 @@
             described.pop(server_id, None)
             entry = self._entries.get(server_id)
             if entry is not None and entry.owner == name:
-                del self._entries[server_id]
+                # Kept for a while, so that a late announcement of a process
+                # that left does not bring it back.
+                entry.expires_at = min(entry.expires_at, now)
 
     def is_owned_elsewhere(self, server_id):
         """Tell whether another VM owns the lease of a server now."""
@@ -223,7 +291,7 @@
     def _forget_owner(self, name):
         """Accept any updates of a VM that restarted and counts anew."""
         for entry in self._entries.values():
-            if entry.owner == name:
+            if entry.owner == name and not entry.server.started_at_ms:
                 entry.server = attrs.evolve(entry.server, sequence=0)
 
     def _merge_server(self, server, name, now, renewal=False):
@@ -248,6 +316,19 @@
         self._entries[server.server_id] = _Entry(
             server, owner, expires_at, since, load_at
         )
+        if _is_first(known, server):
+            self._free_address(server, now)
+
+    def _free_address(self, server, now):
+        """End the leases of earlier processes at a server's address."""
+        for entry in self._entries.values():
+            other = entry.server
+            if (
+                other.address == server.address
+                and other.server_id != server.server_id
+                and other.started_at_ms < server.started_at_ms
+            ):
+                entry.expires_at = min(entry.expires_at, now)
 
     def _usable(self, service, version, now):
         return [
@@ -271,14 +352,41 @@
 
 def _is_newer(server, known, now):
     """Tell whether a record is newer than what is known."""
+    if server.started_at_ms and known.server.started_at_ms:
+        return is_later(server, known.server)
     return known.expires_at <= now or (server.sequence > known.server.sequence)
 
 
+def is_later(server, known):
+    """Tell whether an announcement follows another one of the same server.
+
+    Parameters
+    ----------
+    server, known : BackendServer
+        Both tell when their process started.
+    """
+    return (server.started_at_ms, server.sequence) > (
+        known.started_at_ms,
+        known.sequence,
+    )
+
+
+def _is_first(known, server):
+    return known is None or _is_other_process(known.server, server)
+
+
 def _is_other_process(one, other):
     """Tell whether a server restarted between two records."""
-    return (one.instance, one.address, one.version, one.service) != (
-        other.instance,
-        other.address,
-        other.version,
-        other.service,
-    ) or (one.leaving and not other.leaving)
+    return _process_of(one) != _process_of(other) or (
+        one.leaving and not other.leaving
+    )
+
+
+def _process_of(server):
+    return (
+        server.instance,
+        server.started_at_ms,
+        server.address,
+        server.version,
+        server.service,
+    )
--- a/medlarhollow/membership/exchange.py
+++ b/medlarhollow/membership/exchange.py
@@ -43,6 +43,9 @@
 class Exchange:
     """Keep one stream to each other VM of the data centre.
 
+    With ``scope = fleet`` in section ``backends``, also one to each VM that
+    takes announcements for the whole fleet.
+
     Parameters
     ----------
     settings : Settings
@@ -75,6 +78,7 @@
         self._channels = channels
         self._own_vm = own_vm
         self._own_load = own_load or (lambda now: OwnLoad())
+        self._is_fleet_wide = settings.backends.scope == "fleet"
         self._wakers = set()
         self._served = {}
         self._names = {}
@@ -122,9 +126,7 @@
         found = [
             vm.peer_address
             for vm in self._copy.state.vms.values()
-            if vm.data_centre == own.vm.data_centre
-            and vm.name != own.vm.name
-            and vm.caller_address
+            if vm.name != own.vm.name and self._is_peer(vm)
         ]
         found += own.peer.data_centre_peers
         return [
@@ -220,11 +222,20 @@
             if self._served.get(name) is token:
                 del self._served[name]
 
+    def _is_peer(self, vm):
+        """Tell whether this VM opens a stream to another one."""
+        if self._is_fleet_wide and vm.announce_address:
+            return True
+        own = self._settings.vm
+        return vm.data_centre == own.data_centre and bool(vm.caller_address)
+
     def _is_accepted(self, update, last):
         own = self._settings.vm
         return (
             update.vm is not None
-            and update.vm.data_centre == own.data_centre
+            and (
+                self._is_fleet_wide or update.vm.data_centre == own.data_centre
+            )
             and update.vm.name != own.name
             and update.sequence == last + 1
         )
--- a/medlarhollow/membership/lookup.py
+++ b/medlarhollow/membership/lookup.py
@@ -3,9 +3,11 @@
 from ..messages.records import VmState
 from .weights import RegionWeights
 
-__all__ = ["LookupOrder", "list_entry_vms"]
+__all__ = ["LookupOrder", "list_entry_vms", "list_nearest"]
 
 _STEPS = 1 << 16
+# Entry VMs of a data centre that suffice without those of its region.
+_LEAST_NEAR = 2
 
 
 class LookupOrder:
@@ -135,6 +137,37 @@
     return LookupOrder(settings).list(state, caller_region, **more)
 
 
+def list_nearest(state, region, data_centre, takes_callers):
+    """Return the entry VMs nearest to a caller that picks one by itself.
+
+    Parameters
+    ----------
+    state : FleetState
+        Its roster names the entry VMs.
+    region, data_centre : str
+        Where the caller is.
+    takes_callers : callable
+        Tells for a `Vm` whether it is alive.
+
+    Returns
+    -------
+    list of Vm
+        Those of the data centre; with those of the region if there are too
+        few for one to fail, or all if the region has none.
+    """
+    serving = [
+        vm
+        for vm in state.vms.values()
+        if vm.state is VmState.SERVING
+        and vm.caller_address
+        and takes_callers(vm)
+    ]
+    near = [vm for vm in serving if vm.data_centre == data_centre]
+    if len(near) >= _LEAST_NEAR:
+        return near
+    return [vm for vm in serving if vm.region == region] or serving
+
+
 def _is_elsewhere(vm, chosen):
     return _is_one_data_centre(chosen) and (
         vm.data_centre != chosen[0].data_centre
--- a/medlarhollow/membership/peers.py
+++ b/medlarhollow/membership/peers.py
@@ -110,6 +110,13 @@
             if self._is_heard(peer, now)
         }
 
+    def count_entries(self, data_centre, now):
+        """Return how many live peers of a data centre take callers."""
+        return sum(
+            vm.data_centre == data_centre and bool(vm.caller_address)
+            for vm in self.live(now).values()
+        )
+
     def is_wanted(self, server_id, now):
         """Tell whether requests wait for a server at a live peer.
 
--- a/medlarhollow/messages/records.py
+++ b/medlarhollow/messages/records.py
@@ -8,6 +8,7 @@
 import attrs
 
 __all__ = [
+    "AcceptedConfiguration",
     "Account",
     "ActivatePreset",
     "Allocator",
@@ -16,6 +17,7 @@
     "Applied",
     "BackendServer",
     "BatchReport",
+    "CallerLimits",
     "Change",
     "Claim",
     "ClaimRecord",
@@ -23,6 +25,7 @@
     "ClientBlock",
     "Commit",
     "CompleteClaim",
+    "Configuration",
     "CreditRequest",
     "CreditResponse",
     "DeleteAccount",
@@ -30,8 +33,11 @@
     "DeleteRoute",
     "DeleteService",
     "DemandSample",
+    "Destination",
+    "EndEvacuation",
     "EntryKind",
     "ErrorKind",
+    "Evacuation",
     "ExchangeUpdate",
     "Failure",
     "FinishMove",
@@ -52,6 +58,7 @@
     "ProposeResponse",
     "PutAccount",
     "PutClientBlocks",
+    "PutConfiguration",
     "PutLink",
     "PutPreset",
     "PutRoute",
@@ -68,12 +75,14 @@
     "Service",
     "SetAllocator",
     "SetReplicasRequest",
+    "SetServiceVersion",
     "SetShares",
     "SetVm",
     "Share",
     "Shift",
     "SnapshotRequest",
     "SnapshotResponse",
+    "StartEvacuation",
     "StartMove",
     "StateSnapshot",
     "StatusRequest",
@@ -176,6 +185,8 @@
     name: str = ""
     rate_per_s: float = 0.0
     burst: float = 0.0
+    priority: Priority = Priority(0)
+    home_regions: "tuple[str, ...]" = ()
 
 
 @attrs.frozen
@@ -195,6 +206,17 @@
     name: str = ""
     announce_sha256: bytes = b""
     version: str = ""
+    health_path: str = ""
+    connections: int = 0
+    cold_rate_per_s: float = 0.0
+
+
+@attrs.frozen
+class Destination:
+    """Part of a route's requests that a service gets."""
+
+    service: str = ""
+    weight: float = 0.0
 
 
 @attrs.frozen
@@ -209,6 +231,52 @@
     priority: Priority = Priority(0)
     timeout_s: float = 0.0
     stale_keys_s: float = 0.0
+    attempts: int = 0
+    split: "tuple[Destination, ...]" = ()
+    sticky: bool = False
+    home_regions: "tuple[str, ...]" = ()
+    unclaimed: bool = False
+    objective_s: float = 0.0
+
+
+@attrs.frozen
+class CallerLimits:
+    """Limits for what callers may send."""
+
+    header_bytes: int = 0
+    body_bytes: int = 0
+    head_timeout_s: float = 0.0
+    idle_timeout_s: float = 0.0
+
+
+@attrs.frozen
+class Configuration:
+    """Everything that operators configure as one document."""
+
+    version: int = 0
+    accounts: "tuple[Account, ...]" = ()
+    keys: "tuple[Key, ...]" = ()
+    services: "tuple[Service, ...]" = ()
+    routes: "tuple[Route, ...]" = ()
+    limits: "CallerLimits | None" = None
+    document: bytes = b""
+    document_sha256: bytes = b""
+
+
+@attrs.frozen
+class AcceptedConfiguration:
+    """Version and digest of a configuration that was accepted."""
+
+    version: int = 0
+    sha256: bytes = b""
+
+
+@attrs.frozen
+class Evacuation:
+    """A data centre whose backend servers get no new work."""
+
+    data_centre: str = ""
+    started_at_s: float = 0.0
 
 
 @attrs.frozen
@@ -288,6 +356,7 @@
     caller_address: str = ""
     peer_address: str = ""
     state: VmState = VmState(0)
+    announce_address: str = ""
 
 
 @attrs.frozen
@@ -452,6 +521,28 @@
     link: "Link | None" = None
 
 
+@attrs.frozen
+class PutConfiguration:
+    """Replaces all accounts, keys, services and routes."""
+
+    configuration: "Configuration | None" = None
+    base_version: int = 0
+
+
+@attrs.frozen
+class StartEvacuation:
+    """Record of StartEvacuation."""
+
+    data_centre: str = ""
+
+
+@attrs.frozen
+class EndEvacuation:
+    """Record of EndEvacuation."""
+
+    data_centre: str = ""
+
+
 @attrs.frozen
 class SetVm:
     """Changes by the control leader."""
@@ -495,6 +586,14 @@
     allocator: "Allocator | None" = None
 
 
+@attrs.frozen
+class SetServiceVersion:
+    """Names the version in force of a service that has none yet."""
+
+    service: str = ""
+    version: str = ""
+
+
 @attrs.frozen
 class Claim:
     """Changes by entry VMs, kept by the control replicas alone."""
@@ -531,7 +630,7 @@
     request_id: str = ""
     base_revision: int = 0
     author: str = ""
-    body: "PutAccount | DeleteAccount | IssueKey | RevokeKey | PutService | DeleteService | PutRoute | DeleteRoute | PutPreset | DeletePreset | ActivatePreset | StartMove | RollBackMove | PutClientBlocks | PutLink | SetVm | StepShift | StepMove | FinishMove | SetShares | SetAllocator | Claim | CompleteClaim | ReleaseClaim | None" = None
+    body: "PutAccount | DeleteAccount | IssueKey | RevokeKey | PutService | DeleteService | PutRoute | DeleteRoute | PutPreset | DeletePreset | ActivatePreset | StartMove | RollBackMove | PutClientBlocks | PutLink | PutConfiguration | StartEvacuation | EndEvacuation | SetVm | StepShift | StepMove | FinishMove | SetShares | SetAllocator | SetServiceVersion | Claim | CompleteClaim | ReleaseClaim | None" = None
 
 
 @attrs.frozen
@@ -584,8 +683,13 @@
     allocators: "tuple[Allocator, ...]" = ()
     longest_stale_keys_s: float = 0.0
     blocks_revision: int = 0
+    configuration_version: int = 0
+    accepted: "tuple[AcceptedConfiguration, ...]" = ()
+    limits: "CallerLimits | None" = None
+    evacuations: "tuple[Evacuation, ...]" = ()
     requests: "tuple[RequestRecord, ...]" = ()
     claims: "tuple[ClaimRecord, ...]" = ()
+    document: bytes = b""
     time_s: float = 0.0
 
 
@@ -753,6 +857,8 @@
 class StatusRequest:
     """Record of StatusRequest."""
 
+    confirmed: bool = False
+
 
 @attrs.frozen
 class SetReplicasRequest:
@@ -842,6 +948,10 @@
     lease_left_s: float = 0.0
     instance: str = ""
     wanted: bool = False
+    data_centre: str = ""
+    region: str = ""
+    started_at_ms: int = 0
+    cold_left_s: float = 0.0
 
 
 @attrs.frozen
--- a/medlarhollow/moves/__init__.py
+++ b/medlarhollow/moves/__init__.py
@@ -3,5 +3,11 @@
 from .samples import SampleCounter
 from .selector import VersionSelector
 from .versions import choose_version
+from .versions import find_last_move
 
-__all__ = ["SampleCounter", "VersionSelector", "choose_version"]
+__all__ = [
+    "SampleCounter",
+    "VersionSelector",
+    "choose_version",
+    "find_last_move",
+]
--- a/medlarhollow/moves/versions.py
+++ b/medlarhollow/moves/versions.py
@@ -2,7 +2,7 @@
 
 from ..messages.records import MoveState
 
-__all__ = ["choose_version"]
+__all__ = ["choose_version", "find_last_move"]
 
 
 def choose_version(state, service, point):
@@ -31,3 +31,13 @@
         ):
             return move.to_version
     return state.services[service].version
+
+
+def find_last_move(state, service):
+    """Return the move of a service that was started last, or None."""
+    moves = [move for move in state.moves.values() if move.service == service]
+    return max(
+        moves,
+        key=lambda move: (move.started_at_s, move.move_id),
+        default=None,
+    )
--- a/medlarhollow/requests/budget.py
+++ b/medlarhollow/requests/budget.py
@@ -2,10 +2,6 @@
 
 __all__ = ["RetryBudget"]
 
-# A VM with little traffic may still retry; the limit also bounds the burst
-# of retries after a quiet time.
-_LIMIT = 10.0
-
 
 class RetryBudget:
     """Allow retries as a share of the requests seen.
@@ -16,12 +12,14 @@
     Parameters
     ----------
     settings : Settings
-        Section ``entry`` gives the share.
+        Section ``entry`` gives the share, and the burst that a VM with little
+        traffic may use.
     """
 
     def __init__(self, settings):
         self._share = settings.entry.retry_budget
-        self._level = _LIMIT if self._share else 0.0
+        self._limit = settings.entry.retry_burst
+        self._level = self._limit if self._share else 0.0
 
     @property
     def has_tokens(self):
@@ -30,7 +28,7 @@
 
     def count_request(self):
         """Count one request of a caller."""
-        self._level = min(_LIMIT, self._level + self._share)
+        self._level = min(self._limit, self._level + self._share)
 
     def take(self):
         """Take the token of one retry.
--- a/medlarhollow/requests/retries.py
+++ b/medlarhollow/requests/retries.py
@@ -27,7 +27,7 @@
 
 @attrs.frozen
 class Refused:
-    """An entry VM of another data centre answered that it did not run."""
+    """A backend server, or an entry VM elsewhere, said that it did not run."""
 
     detail: str
 
--- a/medlarhollow/settings/generated.py
+++ b/medlarhollow/settings/generated.py
@@ -56,6 +56,7 @@
     replicas: tuple[str, ...]
     data_dir: str = ""
     bootstrap: bool = False
+    join: bool = False
     heartbeat_s: float = 0.15
     election_timeout_s: float = 1.0
     snapshot_entries: int = 2000
@@ -81,12 +82,14 @@
     header_limit_bytes: int = 32768
     default_timeout_s: float = 10.0
     retry_budget: float = 0.1
+    retry_burst: float = 10.0
     outcome_body_limit_bytes: int = 16384
     head_timeout_s: float = 10.0
     keep_alive_s: float = 15.0
     stall_timeout_s: float = 15.0
     body_keep_bytes: int = 65536
     claim_timeout_s: float = 3.0
+    silent_part: float = 0.5
     slow_answer_s: float = 1.0
 
 
@@ -99,6 +102,9 @@
     probe_interval_s: float = 1.0
     slow_start_s: float = 20.0
     ejection_s: float = 5.0
+    scope: str = "data_centre"
+    open_announcements: bool = False
+    remote_weight: float = 0.1
 
 
 @attrs.frozen(kw_only=True)
@@ -186,8 +192,8 @@
             Option(
                 name="roles",
                 type="list",
-                allowed=("entry", "control"),
-                help="Roles of this process.",
+                allowed=("entry", "control", "registry"),
+                help="Roles of this process; a registry takes announcements for the whole fleet and answers look-ups, but takes no requests.",
             ),
         ),
     ),
@@ -271,6 +277,11 @@
                 type="bool",
                 help="Form a new cluster of the listed replicas when the data folder is empty. Never set this on a replica that lost its disk.",
             ),
+            Option(
+                name="join",
+                type="bool",
+                help="Ask the leader to add this replica when no leader sends to it, so that replicas come and go without an operator's order.",
+            ),
             Option(
                 name="heartbeat_s",
                 type="float",
@@ -399,6 +410,13 @@
                 highest=1.0,
                 help="Retries allowed as a part of requests.",
             ),
+            Option(
+                name="retry_burst",
+                type="float",
+                lowest=0.0,
+                highest=1000.0,
+                help="Retries allowed at once after a quiet time.",
+            ),
             Option(
                 name="outcome_body_limit_bytes",
                 type="int",
@@ -441,6 +459,13 @@
                 highest=60.0,
                 help="Limit for the commit of a claim; after it the request is refused as not run.",
             ),
+            Option(
+                name="silent_part",
+                type="float",
+                lowest=0.0,
+                highest=1.0,
+                help="Part of the time left that a silent backend server may use before an idempotent request is sent to another one; 1 to wait for it.",
+            ),
             Option(
                 name="slow_answer_s",
                 type="float",
@@ -488,6 +513,24 @@
                 highest=600.0,
                 help="First time for which an outlier gets no requests.",
             ),
+            Option(
+                name="scope",
+                type="choice",
+                allowed=("data_centre", "fleet"),
+                help="Backend servers that serve the callers of a VM: those of its data centre, others on credit, or those of the whole fleet.",
+            ),
+            Option(
+                name="open_announcements",
+                type="bool",
+                help="Take announcements without a credential, where the network allows only backend servers to send them.",
+            ),
+            Option(
+                name="remote_weight",
+                type="float",
+                lowest=0.0,
+                highest=1.0,
+                help="Weight of a backend server of another region against one of this region, with scope = fleet.",
+            ),
         ),
     ),
     "limits": (
--- a/medlarhollow/steering/__init__.py
+++ b/medlarhollow/steering/__init__.py
@@ -5,6 +5,7 @@
 from .assignment import Demand
 from .callers import CallerRegions
 from .dispatcher import Dispatcher
+from .reported_load import ServerLoad
 
 __all__ = [
     "Assignment",
@@ -12,4 +13,5 @@
     "CallerRegions",
     "Demand",
     "Dispatcher",
+    "ServerLoad",
 ]
--- a/medlarhollow/steering/assignment.py
+++ b/medlarhollow/steering/assignment.py
@@ -39,6 +39,11 @@
     local_only : bool
         Whether the request came from another data centre and must not be
         forwarded again.
+    affinity : str
+        Names the object that the request is about, on routes where servers
+        answer faster for objects that they served lately; empty for none.
+    home_regions : frozenset of str
+        Regions whose servers may serve the request; empty for all.
     """
 
     route: Route
@@ -47,6 +52,8 @@
     point: float
     excluded: frozenset = frozenset()
     local_only: bool = False
+    affinity: str = ""
+    home_regions: frozenset = frozenset()
 
 
 @attrs.frozen
--- a/medlarhollow/steering/dispatcher.py
+++ b/medlarhollow/steering/dispatcher.py
@@ -16,7 +16,8 @@
 from ..moves import VersionSelector
 from .assignment import Assignment
 from .assignment import AttemptResult
-from .choice import choose_server
+from .placement import is_allowed
+from .placement import Placement
 from .pool import Pool
 from .pool import Waiting
 from .slots import Slots
@@ -55,7 +56,9 @@
         self._directory = directory
         self._versions = versions or VersionSelector(settings, copy)
         self._pools = {}
-        self._slots = Slots(settings, directory)
+        self._placement = Placement(settings)
+        self._slots = Slots(settings, directory, copy)
+        self._is_fleet_wide = settings.backends.scope == "fleet"
         self._spill = Spill(settings, copy, channels)
         self._generator = random.Random()
         self._asking = {}
@@ -104,8 +107,8 @@
             if assignment is not None:
                 return Ok(assignment)
         limit_at = demand.deadline_at
-        if not self._views(pool, demand.excluded, now):
-            if demand.local_only or not self._spill.has_others():
+        if not self._has_server(pool, demand, now):
+            if demand.local_only or not self._may_spill():
                 return _no_backend(pool)
             limit_at = min(limit_at, now + _CREDIT_WAIT_S)
         elif now + pool.expected_wait_s(demand) >= demand.deadline_at:
@@ -145,6 +148,20 @@
             pool.note_latency(latency_s)
         self._pump(pool, now)
 
+    def note_load(self, assignment, load, now):
+        """Take the load that a server reported with an answer.
+
+        Parameters
+        ----------
+        assignment : Assignment
+            Of the request that was answered; not released yet.
+        load : ServerLoad
+            The report.
+        now : float
+            Monotonic time in seconds.
+        """
+        self._slots.note_load(assignment.server.server_id, load, now)
+
     def own_load(self, now):
         """Return what the other VMs of the data centre should know.
 
@@ -228,7 +245,7 @@
 
     def _send_away(self, pool, demand, now):
         """Send the preset's part of new work to other regions, on credit."""
-        if demand.local_only:
+        if demand.local_only or self._is_fleet_wide:
             return None
         weights = self._spill.weights()
         away = 1 - weights.get(self._settings.vm.region, 0.0)
@@ -255,9 +272,7 @@
 
     def _assign(self, pool, demand, candidates, now):
         """Return a local slot, or else one on credit, or None."""
-        chosen = choose_server(
-            candidates, demand.excluded, self._generator, now
-        )
+        chosen = self._placement.choose(candidates, demand, now)
         if chosen is not None:
             server = chosen.view.server
             self._slots.take(server.server_id)
@@ -267,17 +282,18 @@
             return None
         return self._take_credit(pool, demand, now)
 
+    def _may_spill(self):
+        """Tell whether other data centres may grant credit."""
+        return not self._is_fleet_wide and self._spill.has_others()
+
     def _candidates(self, pool, now):
         return self._slots.candidates(pool.service, pool.version, now)
 
-    def _views(self, pool, excluded, now):
-        return [
-            server
-            for server in self._directory.servers(
-                pool.service, pool.version, now
-            )
-            if server.server_id not in excluded
-        ]
+    def _has_server(self, pool, demand, now):
+        return any(
+            is_allowed(server, demand)
+            for server in self._slots.servers(pool.service, pool.version, now)
+        )
 
     async def _wait(self, pool, demand, limit_at, now):
         future = asyncio.get_running_loop().create_future()
@@ -351,7 +367,7 @@
             wanted += math.ceil(pool.in_flight * pool.wants_away) + 1
         wanted += self._spill.held_credit.in_flight(pool.service)
         is_asking = pool.service in self._asking
-        if not wanted or is_asking or not self._spill.has_others():
+        if not wanted or is_asking or not self._may_spill():
             return
         task = asyncio.create_task(self._spill.ask(pool.service, wanted, now))
         self._asking[pool.service] = task
--- a/medlarhollow/steering/slots.py
+++ b/medlarhollow/steering/slots.py
@@ -3,8 +3,11 @@
 import collections
 import logging
 
+import attrs
+
 from .choice import list_candidates
 from .health import OutlierDetector
+from .reported_load import ReportedLoad
 
 __all__ = ["Slots"]
 
@@ -23,11 +26,16 @@
         Section ``backends`` is read.
     directory : Directory
         Servers and the counts of the other VMs.
+    copy : FleetCopy
+        Names the data centres that are evacuated.
     """
 
-    def __init__(self, settings, directory):
+    def __init__(self, settings, directory, copy):
         self._settings = settings.backends
+        self._data_centre = settings.vm.data_centre
         self._directory = directory
+        self._copy = copy
+        self._reported = ReportedLoad()
         self._in_flight = collections.Counter()
         self._outliers = OutlierDetector(settings)
         self._pools = {}
@@ -92,6 +100,28 @@
                 self._pools.clear()
                 _LOG.warning("steering: ejected %s", server_id)
 
+    def note_load(self, server_id, load, now):
+        """Take the load that a server reported with an answer."""
+        own = self._in_flight[server_id]
+        self._reported.note(server_id, load, own, now)
+
+    def servers(self, service, version, now):
+        """Return the servers that may get new work.
+
+        Parameters
+        ----------
+        service, version : str
+            The pool.
+        now : float
+            Monotonic time in seconds.
+
+        Returns
+        -------
+        list of BackendServer
+            Ejected ones are included.
+        """
+        return [view.server for view in self._views(service, version, now)[0]]
+
     def headroom(self, service, version, now):
         """Return slots and requests in flight of a pool.
 
@@ -118,11 +148,14 @@
 
     def vms(self, now):
         """Return the number of live VMs of the data centre."""
-        return 1 + len(self._directory.peers.live(now))
+        peers = self._directory.peers
+        return 1 + peers.count_entries(self._data_centre, now)
 
     def forget(self):
         """Drop statistics of servers that are gone."""
-        self._outliers.forget(self._directory.known())
+        known = self._directory.known()
+        self._outliers.forget(known)
+        self._reported.forget(known)
 
     def _usable(self, service, version, now):
         return self._views(service, version, now)[1]
@@ -132,7 +165,19 @@
         known = self._pools.get((service, version))
         if known is not None and 0 <= now - known[0] < _VIEWS_S:
             return known[1:]
-        views = self._directory.views(service, version, now)
+        evacuated = self._copy.state.evacuations
+        views = [
+            self._with_load(view, now)
+            for view in self._directory.views(service, version, now)
+            if view.server.data_centre not in evacuated
+        ]
         usable = self._outliers.usable(views, now)
         self._pools[(service, version)] = (now, views, usable)
         return views, usable
+
+    def _with_load(self, view, now):
+        """Count what a server reported where that is more than peers said."""
+        others = round(self._reported.others(view.server.server_id, now))
+        if others <= view.peers_in_flight:
+            return view
+        return attrs.evolve(view, peers_in_flight=others)
