--- a/medlarhollow/daemon/front_door.py
+++ b/medlarhollow/daemon/front_door.py
@@ -1,15 +1,23 @@
 """Connections of callers and backend servers to the front doors."""
 
+import functools
+import itertools
 import json
 import socket
 import struct
 
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
+from .turns import Turns
+
 __all__ = ["FrontDoorProtocol"]
 
 # On, with no time to linger: close() then resets the connection.
 _RESET_AT_CLOSE = struct.pack("ii", 1, 0)
+# Methods of requests that run beside those before them (RFC 9110, section
+# 9.2.1), and how many of one connection do at most.
+_SAFE_METHODS = frozenset({"GET", "HEAD"})
+_SIDE_BY_SIDE = 8
 # Time for a refused caller to read the refusal and close.
 _LINGER_S = 1.0
 _REFUSALS = {
@@ -20,7 +28,7 @@
 
 
 class FrontDoorProtocol(HttpToolsProtocol):
-    """Bound the size and the duration of request heads.
+    """Bound request heads, and serve pipelined requests side by side.
 
     Parameters
     ----------
@@ -31,8 +39,14 @@
 
     Notes
     -----
-    The base class limits neither. Refusals made here name their outcome
-    like all others; they are made before a request is run.
+    The base class limits neither size nor duration of a head. Refusals made
+    here name their outcome like all others; they are made before a request is
+    run.
+
+    The base class serves pipelined requests one after the other. Here those
+    with a safe method run side by side, and their answers are held back until
+    their turn; others wait until all before them are answered, since a caller
+    sends them again if the connection ends before.
     """
 
     def __init__(self, limits, **options):
@@ -42,23 +56,25 @@
         self._in_head = False
         self._head_bytes = 0
         self._parsed_bytes = 0
-        self._running = None
+        self._turns = None
+        self._defers = False
         self._fault = "malformed"
         self._refused = False
 
     def connection_made(self, transport):
         """Start to wait for the first head."""
         super().connection_made(transport)
+        self._turns = Turns(transport)
         self._start_head_timer()
 
     def connection_lost(self, exc):
-        """Tell the running request; the base class tells the last one."""
+        """Tell the running requests; the base class tells the last one."""
         self._stop_head_timer()
         super().connection_lost(exc)
-        running = self._running
-        if running is not None and not running.response_complete:
-            running.disconnected = True
-            running.message_event.set()
+        for turn in self._turns:
+            if not turn.cycle.response_complete:
+                turn.cycle.disconnected = True
+                turn.cycle.message_event.set()
 
     def data_received(self, data):
         """Parse data and bound a head that is not complete yet."""
@@ -79,7 +95,10 @@
     def on_message_begin(self):
         """Start a head."""
         super().on_message_begin()
-        self.scope["extensions"] = {"medlarhollow.abort": self.abort}
+        self.scope["extensions"] = {
+            "medlarhollow.abort": self.abort,
+            "medlarhollow.may_close": self.may_close,
+        }
         self._in_head = True
         self._head_bytes = self._parsed_bytes = 0
         if self._head_timer is None:
@@ -99,12 +118,35 @@
         """End a head."""
         self._in_head = False
         self._stop_head_timer()
+        self._defers = True
         super().on_headers_complete()
+        self._defers = False
+        self._add_turn()
+
+    def on_response_complete(self):
+        """Do nothing: the end of a turn takes the place of this."""
+
+    def shutdown(self):
+        """Close the connection after the answers that are due."""
+        if not len(self._turns):
+            self.transport.close()
+            return
+        last = self._turns.last
+        if last.is_done:
+            last.close()
+        else:
+            last.cycle.keep_alive = False
+
+    def may_close(self):
+        """Return whether no request behind the first one is running.
+
+        An answer that closes the connection would cut those.
+        """
+        return sum(turn.is_started for turn in self._turns) <= 1
 
     def send_400_response(self, msg):
         """Refuse a head, or abort in the middle of a request."""
-        cycle = self.cycle
-        if cycle is not None and not cycle.response_complete:
+        if len(self._turns):
             # The request may be running, so no answer here would be true.
             self.abort()
             return
@@ -140,9 +182,60 @@
             )
         self.transport.abort()
 
+    def _add_turn(self):
+        """Give the request whose head ended its turn, and start it if safe."""
+        cycle = self.cycle
+        turn = self._turns.add(cycle)
+        cycle.transport = turn
+        cycle.on_response = functools.partial(self._end_turn, turn)
+        if len(self._turns) == 1 or self._may_start(turn):
+            self._start_next(turn)
+
+    def _may_start(self, turn):
+        return (
+            turn.cycle.scope["method"] in _SAFE_METHODS
+            and len(self._turns) <= _SIDE_BY_SIDE
+            and all(other.is_started for other in self._turns_before(turn))
+        )
+
+    def _turns_before(self, turn):
+        return itertools.takewhile(
+            lambda other: other is not turn, self._turns
+        )
+
     def _start_asgi_task(self, cycle, app):
-        self._running = cycle
-        super()._start_asgi_task(cycle, app)
+        if self._defers:
+            # Whether it may start depends on all requests before it.
+            self.pipeline.appendleft((cycle, app))
+        else:
+            super()._start_asgi_task(cycle, app)
+
+    def _start_next(self, turn):
+        turn.is_started = True
+        cycle, app = self.pipeline.pop()
+        self._start_asgi_task(cycle, app)
+        if not self.pipeline:
+            self.flow.resume_reading()
+
+    def _end_turn(self, turn):
+        self.server_state.total_requests += 1
+        self._turns.finish(turn)
+        if self.transport.is_closing():
+            return
+        self._unset_keepalive_if_required()
+        for waiting in list(self._turns):
+            if waiting.is_started:
+                continue
+            if not self._turns.is_first(waiting) and not self._may_start(
+                waiting
+            ):
+                break
+            self._start_next(waiting)
+        self.flow.resume_reading()
+        if not len(self._turns):
+            self.timeout_keep_alive_task = self.loop.call_later(
+                self.timeout_keep_alive, self.timeout_keep_alive_handler
+            )
 
     def _count(self, size):
         self._parsed_bytes += size
--- a/medlarhollow/entry/answers.py
+++ b/medlarhollow/entry/answers.py
@@ -47,20 +47,22 @@
     body: bytes
 
 
-def answer_failure(failure):
+def answer_failure(failure, retry_after_s=1):
     """Return the HTTP answer of a failure.
 
     Parameters
     ----------
     failure : Failure
         Kind and detail.
+    retry_after_s : float
+        Time after which a passing failure may be over, in seconds.
 
     Returns
     -------
     starlette.responses.JSONResponse
         Its body names the kind, the outcome and the detail.
     """
-    status, headers, body = _describe(failure)
+    status, headers, body = _describe(failure, retry_after_s)
     return JSONResponse(body, status, headers)
 
 
@@ -80,7 +82,8 @@
     Answer
         With a JSON body that names kind, outcome and detail.
     """
-    status, headers, body = _describe(failure)
+    retry_after_s = vm.settings.entry.retry_after_s
+    status, headers, body = _describe(failure, retry_after_s)
     if failure.kind is ErrorKind.STALE_AUTHORITY:
         body["entry_vms"] = [describe_vm(each) for each in list_elsewhere(vm)]
     elif failure.kind is ErrorKind.DRAINING:
@@ -232,11 +235,11 @@
     }
 
 
-def _describe(failure):
+def _describe(failure, retry_after_s):
     response = response_of(failure.kind)
     headers = {OUTCOME_HEADER: response.outcome}
-    if response.retry_after_s is not None:
-        headers["retry-after"] = str(response.retry_after_s)
+    if response.may_pass:
+        headers["retry-after"] = f"{retry_after_s:g}"
     body = {
         "error": failure.kind.name.lower(),
         "outcome": response.outcome,
--- a/medlarhollow/entry/callers.py
+++ b/medlarhollow/entry/callers.py
@@ -96,8 +96,15 @@
     """Return an application whose answers close connections in a drain."""
 
     async def serve(scope, receive, send):
+        may_close = scope.get("extensions", {}).get("medlarhollow.may_close")
+
         async def send_draining(message):
-            if message["type"] == "http.response.start" and drain.draining:
+            is_start = message["type"] == "http.response.start"
+            if (
+                is_start
+                and drain.draining
+                and (may_close is None or may_close())
+            ):
                 headers = [*message["headers"], (b"connection", b"close")]
                 message = {**message, "headers": headers}
             await send(message)
--- a/medlarhollow/errors/responses.py
+++ b/medlarhollow/errors/responses.py
@@ -18,13 +18,13 @@
     outcome : str
         ``not-run``: the request certainly did not run; ``unknown``: it may
         have run; ``failed``: a backend server was reached and failed.
-    retry_after_s : int or None
-        Seconds after which a retry may succeed.
+    may_pass : bool
+        Whether the same request may succeed some time later.
     """
 
     status: int
     outcome: str
-    retry_after_s: int | None = None
+    may_pass: bool = False
 
 
 _RESPONSES = {
@@ -34,16 +34,16 @@
     ErrorKind.UNAUTHENTICATED: Response(401, "not-run"),
     ErrorKind.FORBIDDEN: Response(403, "not-run"),
     ErrorKind.CONFLICT: Response(409, "not-run"),
-    ErrorKind.RATE_LIMITED: Response(429, "not-run", 1),
-    ErrorKind.OVERLOADED: Response(503, "not-run", 1),
-    ErrorKind.NO_BACKEND: Response(503, "not-run", 1),
+    ErrorKind.RATE_LIMITED: Response(429, "not-run", True),
+    ErrorKind.OVERLOADED: Response(503, "not-run", True),
+    ErrorKind.NO_BACKEND: Response(503, "not-run", True),
     ErrorKind.DEADLINE_EXCEEDED: Response(504, "not-run"),
-    ErrorKind.STALE_AUTHORITY: Response(503, "not-run", 1),
-    ErrorKind.NOT_LEADER: Response(503, "not-run", 1),
-    ErrorKind.NO_QUORUM: Response(503, "not-run", 1),
+    ErrorKind.STALE_AUTHORITY: Response(503, "not-run", True),
+    ErrorKind.NOT_LEADER: Response(503, "not-run", True),
+    ErrorKind.NO_QUORUM: Response(503, "not-run", True),
     ErrorKind.OUTCOME_UNKNOWN: Response(502, "unknown"),
     ErrorKind.KEY_REUSED: Response(422, "not-run"),
-    ErrorKind.DRAINING: Response(503, "not-run", 1),
+    ErrorKind.DRAINING: Response(503, "not-run", True),
     ErrorKind.BACKEND_FAILED: Response(502, "failed"),
     ErrorKind.STORAGE_DAMAGED: Response(500, "not-run"),
     ErrorKind.WRONG_CLUSTER: Response(403, "not-run"),
@@ -62,7 +62,7 @@
     Returns
     -------
     Response
-        Status, outcome and retry time.
+        Status, outcome and whether to come again.
 
     Examples
     --------
--- a/medlarhollow/membership/exchange.py
+++ b/medlarhollow/membership/exchange.py
@@ -154,6 +154,9 @@
             async with asyncio.timeout(self._settings.peer.connect_timeout_s):
                 await stream.send_request()
             await self._converse(stream, address=address)
+            # Left because the peer's own stream is used; grpclib demands
+            # that a stream is ended or cancelled.
+            await stream.cancel()
 
     async def _converse(self, stream, address="", served=False):
         """Send and receive until the stream fails or is not needed.
--- a/medlarhollow/settings/generated.py
+++ b/medlarhollow/settings/generated.py
@@ -89,6 +89,7 @@
     stall_timeout_s: float = 15.0
     body_keep_bytes: int = 65536
     claim_timeout_s: float = 3.0
+    retry_after_s: float = 1.0
     silent_part: float = 0.5
     slow_answer_s: float = 1.0
 
@@ -459,6 +460,13 @@
                 highest=60.0,
                 help="Limit for the commit of a claim; after it the request is refused as not run.",
             ),
+            Option(
+                name="retry_after_s",
+                type="float",
+                lowest=0.0,
+                highest=60.0,
+                help="Time after which a refused caller is asked to come again; fractions are for callers that take them, beyond RFC 9110.",
+            ),
             Option(
                 name="silent_part",
                 type="float",
