--- /dev/null
+++ b/medlarhollow/configuration/tests/test_replacement.py
@@ -0,0 +1,191 @@
+"""Configurations put as one document."""
+
+import hashlib
+
+import attrs
+import pytest
+
+from medlarhollow.configuration import check_key
+from medlarhollow.configuration import choose_destination
+from medlarhollow.configuration import FleetState
+from medlarhollow.configuration import record_key
+from medlarhollow.messages.records import Account
+from medlarhollow.messages.records import Configuration
+from medlarhollow.messages.records import Destination
+from medlarhollow.messages.records import EndEvacuation
+from medlarhollow.messages.records import ErrorKind
+from medlarhollow.messages.records import Move
+from medlarhollow.messages.records import PutConfiguration
+from medlarhollow.messages.records import Route
+from medlarhollow.messages.records import Service
+from medlarhollow.messages.records import SetServiceVersion
+from medlarhollow.messages.records import Share
+from medlarhollow.messages.records import StartEvacuation
+from medlarhollow.messages.records import StartMove
+
+from .samples import accept
+from .samples import NOW
+from .samples import reject
+
+ROUTE = Route(
+    path_prefix="/plots/", service="plots", timeout_s=1.0, attempts=2
+)
+
+
+def configure(version, base, text=b"", **more):
+    """Return a change; `text` stands for what else the document says."""
+    document = b"document %d %b" % (version, text)
+    fields = {
+        "accounts": (Account("crew", 10.0, 10.0),),
+        "keys": (record_key("crew", "willow"),),
+        "services": (Service("plots"),),
+        "routes": (ROUTE,),
+        **more,
+    }
+    return PutConfiguration(
+        Configuration(
+            version=version,
+            document=document,
+            document_sha256=hashlib.sha256(document).digest(),
+            **fields,
+        ),
+        base,
+    )
+
+
+@pytest.fixture
+def state():
+    state = FleetState(cluster="x")
+    accept(state, configure(3, 0))
+    return state
+
+
+def test_document_is_kept_as_sent(state):
+    assert state.document == b"document 3 "
+    assert state.configuration_version == 3
+    assert FleetState.from_snapshot(state.snapshot()) == state
+
+
+def test_of_two_changes_on_one_version_one_wins(state):
+    """Guards invariant 13 against operators that race."""
+    accept(state, configure(5, 3, b"of ana"))
+    reject(
+        state,
+        configure(5, 3, b"of bia"),
+        ErrorKind.CONFLICT,
+        "based on version 3, in force is 5",
+    )
+    reject(state, configure(7, 3), ErrorKind.CONFLICT, "based on version 3")
+
+
+def test_accepted_change_is_accepted_again(state):
+    """Guards operators whose answer was lost, also after later changes."""
+    first = configure(5, 3)
+    accept(state, first)
+    accept(state, first)
+    accept(state, configure(6, 5))
+    accept(state, first)
+    assert state.configuration_version == 6
+    assert state.document == b"document 6 "
+
+
+@pytest.mark.parametrize(
+    ("more", "words"),
+    [
+        ({"services": ()}, "unknown service 'plots'"),
+        ({"routes": (attrs.evolve(ROUTE, timeout_s=0.0),)}, "timeout"),
+        ({"routes": (attrs.evolve(ROUTE, timeout_s=601.0),)}, "timeout"),
+        ({"routes": (attrs.evolve(ROUTE, attempts=0),)}, "no attempt"),
+        ({"routes": (ROUTE, ROUTE)}, "two records"),
+        (
+            {
+                "routes": (
+                    attrs.evolve(ROUTE, split=(Destination("gone", 1.0),)),
+                )
+            },
+            "unknown service 'gone'",
+        ),
+        (
+            {
+                "accounts": (Account("crew"), Account("nursery")),
+                "keys": (
+                    record_key("crew", "willow"),
+                    record_key("nursery", "willow"),
+                ),
+            },
+            "share a key",
+        ),
+        ({"keys": (record_key("nobody", "alder"),)}, "unknown account"),
+    ],
+)
+def test_faulty_document_changes_nothing(state, more, words):
+    reject(state, configure(5, 3, **more), ErrorKind.BAD_REQUEST, words)
+
+
+def test_version_must_rise(state):
+    reject(
+        state,
+        configure(3, 3, b"other"),
+        ErrorKind.BAD_REQUEST,
+        "version 3 does not follow 3",
+    )
+
+
+def test_withdrawn_key_and_removed_account(state):
+    """Guards invariant 5: what the new document lacks is gone."""
+    assert check_key(state, "willow").ok_value == "crew"
+    state.shares[("crew", "a")] = Share("crew", "a", 1.0, 1.0)
+    accept(state, configure(5, 3, accounts=(), keys=()))
+    assert check_key(state, "willow").is_err()
+    assert not state.shares
+    assert not state.accounts
+
+
+def test_lower_rate_lowers_shares(state):
+    """Guards invariant 6 while allocators still hold the old shares."""
+    state.shares[("crew", "a")] = Share("crew", "a", 10.0, 10.0)
+    accept(state, configure(5, 3, accounts=(Account("crew", 5.0, 5.0),)))
+    assert state.shares[("crew", "a")].rate_per_s == 5.0
+
+
+def test_service_keeps_its_version(state):
+    """Guards a finished move against the next document."""
+    accept(state, SetServiceVersion("plots", "v1"))
+    accept(state, configure(5, 3))
+    assert state.services["plots"].version == "v1"
+    reject(
+        state,
+        SetServiceVersion("plots", "v2"),
+        ErrorKind.CONFLICT,
+        "at version 'v1'",
+    )
+
+
+def test_move_without_identifier_starts_once(state):
+    """Guards a move whose order is sent again after a lost answer."""
+    accept(state, SetServiceVersion("plots", "v1"))
+    order = StartMove(
+        Move(service="plots", to_version="v2", deadline_s=NOW + 30)
+    )
+    accept(state, order)
+    accept(state, order, NOW + 2)
+    assert [move.to_version for move in state.moves.values()] == ["v2"]
+
+
+def test_evacuation_is_idempotent(state):
+    for _ in range(2):
+        accept(state, StartEvacuation("north-a"))
+        assert list(state.evacuations) == ["north-a"]
+    for _ in range(2):
+        accept(state, EndEvacuation("north-a"))
+        assert not state.evacuations
+
+
+def test_split_keeps_to_its_weights():
+    route = attrs.evolve(
+        ROUTE, split=(Destination("a", 90.0), Destination("b", 10.0))
+    )
+    points = [number / 1000 for number in range(1000)]
+    chosen = [choose_destination(route, point) for point in points]
+    assert chosen.count("b") == 100
+    assert choose_destination(route, 0.9999999999999999) == "b"
--- a/medlarhollow/control/tests/test_duties.py
+++ b/medlarhollow/control/tests/test_duties.py
@@ -134,13 +134,22 @@
         return Ok(None)
 
 
+class EmptyDirectory:
+    """Directory of a process that takes no announcements."""
+
+    def versions(self, service, now):
+        return {}
+
+
 async def test_only_the_leader_proposes(monkeypatch):
     """Proposals of a follower would be answered with an error each time."""
     monkeypatch.setattr(duties_module, "DUTY_S", 0.01)
     replica = FakeReplica(make_state(), is_leader=False)
     reports = Reports()
     reports.add(SyncRequest(reports=(report(vm("a1")),)), time.monotonic())
-    task = asyncio.create_task(Duties(Settings, replica, reports).run())
+    task = asyncio.create_task(
+        Duties(Settings, replica, reports, EmptyDirectory()).run()
+    )
     await asyncio.sleep(0.1)
     assert replica.proposals == []
     replica.is_leader = True
@@ -174,7 +183,7 @@
     reports = Reports()
     now = time.monotonic()
     reports.add(SyncRequest(reports=(report(vm("a1")), report(vm("b1")))), now)
-    duties = Duties(Settings, replica, reports)
+    duties = Duties(Settings, replica, reports, EmptyDirectory())
     planned = list(duties._plan(now, UNIX))
     assert len(planned) == 2
     rounds = 0
--- a/medlarhollow/daemon/process.py
+++ b/medlarhollow/daemon/process.py
@@ -130,6 +130,7 @@
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self._stop.set)
+        loop.add_signal_handler(signal.SIGHUP, _note_reload)
         peers = PeerServer(self._settings, self._services(), self._telemetry)
         self._observe()
         if self._replica is not None:
@@ -319,3 +320,8 @@
             )
             for door in self._frontend.list_doors(vm, admin)
         ]
+
+
+def _note_reload():
+    """Go on at SIGHUP, which would end the process by default."""
+    _LOG.info("daemon: SIGHUP; changed settings hold from the next start")
--- a/medlarhollow/membership/directory.py
+++ b/medlarhollow/membership/directory.py
@@ -69,6 +69,8 @@
         self._settings = settings.backends
         self._own_name = settings.vm.name
         self._entries = {}
+        # Identifier of the last server seen at each address.
+        self._holders = {}
         self._peers = PeerTable(settings)
         self._listeners = []
         # Last full record of each server by the VM that sent it.
@@ -93,6 +95,8 @@
         now : float
             Monotonic time in seconds.
         """
+        if self._is_displaced(server, now):
+            return
         known = self._entries.get(server.server_id)
         if not server.started_at_ms:
             sequence = known.server.sequence + 1 if known else 1
@@ -298,6 +302,8 @@
         known = self._entries.get(server.server_id)
         if known is not None and not _is_newer(server, known, now):
             return
+        if self._is_displaced(server, now):
+            return
         lease_s = min(server.lease_left_s, self._settings.lease_s)
         load_at = now - server.load_age_s
         if renewal and known is not None:
@@ -317,18 +323,28 @@
             server, owner, expires_at, since, load_at
         )
         if _is_first(known, server):
-            self._free_address(server, now)
+            self._take_address(server, now)
+
+    def _is_displaced(self, server, now):
+        """Tell whether a later process has a server's address."""
+        holder = self._entries.get(self._holders.get(server.address))
+        return (
+            holder is not None
+            and holder.server.server_id != server.server_id
+            and holder.server.started_at_ms > server.started_at_ms > 0
+            and holder.expires_at > now
+        )
 
-    def _free_address(self, server, now):
-        """End the leases of earlier processes at a server's address."""
-        for entry in self._entries.values():
-            other = entry.server
-            if (
-                other.address == server.address
-                and other.server_id != server.server_id
-                and other.started_at_ms < server.started_at_ms
-            ):
-                entry.expires_at = min(entry.expires_at, now)
+    def _take_address(self, server, now):
+        """End the lease of an earlier process at a server's address."""
+        earlier = self._entries.get(self._holders.get(server.address))
+        if earlier is not None and (
+            earlier.server.server_id != server.server_id
+            and earlier.server.address == server.address
+            and earlier.server.started_at_ms < server.started_at_ms
+        ):
+            earlier.expires_at = min(earlier.expires_at, now)
+        self._holders[server.address] = server.server_id
 
     def _usable(self, service, version, now):
         return [
@@ -347,7 +363,9 @@
             for server_id, entry in self._entries.items()
             if entry.expires_at + kept_s <= now
         ]:
-            del self._entries[server_id]
+            address = self._entries.pop(server_id).server.address
+            if self._holders.get(address) == server_id:
+                del self._holders[address]
 
 
 def _is_newer(server, known, now):
--- /dev/null
+++ b/medlarhollow/steering/cold.py
@@ -0,0 +1,121 @@
+"""Pace the requests to cold backend servers over all VMs.
+
+A cold server tolerates few requests a second, whoever sends them. A few VMs
+are chosen for each cold server, by rendezvous hashing over the roster, and
+each sends its part of the rate, without a message between them.
+"""
+
+import hashlib
+
+__all__ = ["ColdPacer"]
+
+# VMs that share the rate of one cold server: each may send one request at
+# once, and the sum of those must stay small against the rate.
+_RATE_OF_SENDER_PER_S = 2.0
+
+
+class ColdPacer:
+    """Tell when this VM may send to a cold server.
+
+    Parameters
+    ----------
+    settings : Settings
+        Section ``vm`` names this VM.
+    copy : FleetCopy
+        Gives the entry VMs and the rates of services.
+    """
+
+    def __init__(self, settings, copy):
+        self._own = settings.vm.name
+        self._copy = copy
+        self._next_at = {}
+        self._evacuated = frozenset()
+        self._returned_at = {}
+
+    def follow(self, now):
+        """Note the data centres whose evacuation has ended.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic time in seconds.
+        """
+        evacuated = frozenset(self._copy.state.evacuations)
+        for data_centre in self._evacuated - evacuated:
+            self._returned_at[data_centre] = now
+        self._evacuated = evacuated
+
+    def is_cold(self, view, now):
+        """Tell whether a server is cold.
+
+        Parameters
+        ----------
+        view : ServerView
+            The server.
+        now : float
+            Monotonic time in seconds.
+
+        Returns
+        -------
+        bool
+            By its last announcement; also true after an evacuation until the
+            server has announced itself again, since it may have become cold
+            while it had nothing to do.
+        """
+        server = view.server
+        if now < view.load_at + server.cold_left_s:
+            return True
+        returned_at = self._returned_at.get(server.data_centre)
+        return returned_at is not None and view.load_at < returned_at
+
+    def may_send(self, server, now):
+        """Tell whether this VM may send a request to a cold server now.
+
+        Parameters
+        ----------
+        server : BackendServer
+            The server.
+        now : float
+            Monotonic time in seconds.
+        """
+        if not self._rate_per_s(server):
+            return True
+        if self._next_at.get(server.server_id, now) > now:
+            return False
+        return self._own in self._senders(server)
+
+    def note_sent(self, server, now):
+        """Count a request that is sent to a cold server."""
+        rate = self._rate_per_s(server)
+        if rate:
+            part = rate / len(self._senders(server))
+            self._next_at[server.server_id] = now + 1 / part
+
+    def forget(self, server_ids):
+        """Keep only the given servers."""
+        self._next_at = {
+            server_id: at
+            for server_id, at in self._next_at.items()
+            if server_id in server_ids
+        }
+
+    def _rate_per_s(self, server):
+        service = self._copy.state.services.get(server.service)
+        return service.cold_rate_per_s if service is not None else 0.0
+
+    def _senders(self, server):
+        """Return the names of the VMs that share a server's rate."""
+        entries = [
+            vm for vm in self._copy.state.vms.values() if vm.caller_address
+        ]
+        near = [vm for vm in entries if vm.region == server.region]
+        names = [vm.name for vm in near or entries] or [self._own]
+        count = max(1, int(self._rate_per_s(server) / _RATE_OF_SENDER_PER_S))
+        return sorted(names, key=lambda name: _hash(name, server.server_id))[
+            :count
+        ]
+
+
+def _hash(name, server_id):
+    text = f"{name} {server_id}".encode()
+    return hashlib.blake2b(text, digest_size=8).digest()
--- a/medlarhollow/steering/dispatcher.py
+++ b/medlarhollow/steering/dispatcher.py
@@ -275,7 +275,7 @@
         chosen = self._placement.choose(candidates, demand, now)
         if chosen is not None:
             server = chosen.view.server
-            self._slots.take(server.server_id)
+            self._slots.take(chosen.view, now)
             pool.in_flight += 1
             return Assignment(server, pool.version)
         if demand.local_only:
--- a/medlarhollow/steering/slots.py
+++ b/medlarhollow/steering/slots.py
@@ -6,6 +6,7 @@
 import attrs
 
 from .choice import list_candidates
+from .cold import ColdPacer
 from .health import OutlierDetector
 from .reported_load import ReportedLoad
 
@@ -36,6 +37,7 @@
         self._directory = directory
         self._copy = copy
         self._reported = ReportedLoad()
+        self._cold = ColdPacer(settings, copy)
         self._in_flight = collections.Counter()
         self._outliers = OutlierDetector(settings)
         self._pools = {}
@@ -61,7 +63,7 @@
         list of Candidate
             Those that are not ejected.
         """
-        return list_candidates(
+        candidates = list_candidates(
             self._usable(service, version, now),
             self._in_flight,
             self.vms(now),
@@ -69,10 +71,13 @@
             now,
             self._settings.slow_start_s,
         )
+        return [self._pace(candidate, now) for candidate in candidates]
 
-    def take(self, server_id):
-        """Count a request that begins."""
-        self._in_flight[server_id] += 1
+    def take(self, view, now):
+        """Count a request that begins at the server of a view."""
+        self._in_flight[view.server.server_id] += 1
+        if self._cold.is_cold(view, now):
+            self._cold.note_sent(view.server, now)
 
     def give_back(self, server, version, result, now):
         """Count a request that ended and learn from it.
@@ -156,6 +161,7 @@
         known = self._directory.known()
         self._outliers.forget(known)
         self._reported.forget(known)
+        self._cold.forget(known)
 
     def _usable(self, service, version, now):
         return self._views(service, version, now)[1]
@@ -166,6 +172,7 @@
         if known is not None and 0 <= now - known[0] < _VIEWS_S:
             return known[1:]
         evacuated = self._copy.state.evacuations
+        self._cold.follow(now)
         views = [
             self._with_load(view, now)
             for view in self._directory.views(service, version, now)
@@ -175,6 +182,15 @@
         self._pools[(service, version)] = (now, views, usable)
         return views, usable
 
+    def _pace(self, candidate, now):
+        """Return a candidate, not free while it is cold and was sent to."""
+        view = candidate.view
+        if not self._cold.is_cold(view, now):
+            return candidate
+        if self._cold.may_send(view.server, now):
+            return candidate
+        return attrs.evolve(candidate, free=0)
+
     def _with_load(self, view, now):
         """Count what a server reported where that is more than peers said."""
         others = round(self._reported.others(view.server.server_id, now))
--- /dev/null
+++ b/medlarhollow/steering/tests/test_placement.py
@@ -0,0 +1,181 @@
+"""Placement by object, region and temperature."""
+
+import collections
+
+import attrs
+import pytest
+
+from medlarhollow.limits.tests.support import make_settings
+from medlarhollow.limits.tests.support import make_state
+from medlarhollow.limits.tests.support import StandInCopy
+from medlarhollow.membership.directory import ServerView
+from medlarhollow.messages.records import BackendServer
+from medlarhollow.messages.records import Evacuation
+from medlarhollow.messages.records import Route
+from medlarhollow.messages.records import Service
+from medlarhollow.steering import Demand
+from medlarhollow.steering import ServerLoad
+from medlarhollow.steering.affinity import rank_by_affinity
+from medlarhollow.steering.choice import Candidate
+from medlarhollow.steering.cold import ColdPacer
+from medlarhollow.steering.placement import Placement
+from medlarhollow.steering.reported_load import ReportedLoad
+
+OBJECTS = [f"/plots/ {number}" for number in range(2000)]
+
+
+def candidate(name, region="north", free=5, **more):
+    server = BackendServer(
+        server_id=name,
+        service="plots",
+        slots=10,
+        region=region,
+        data_centre=f"{region}-a",
+        **more,
+    )
+    return Candidate(ServerView(server, 0.0, 0.0), 0, 10.0, free)
+
+
+def demand(affinity, **more):
+    return Demand(Route(), "", 1.0, 0.0, affinity=affinity, **more)
+
+
+def place(candidates, **settings):
+    placement = Placement(
+        make_settings("e1", backends__scope="fleet", **settings)
+    )
+    return {
+        each: placement.choose(candidates, demand(each), 0.0).view.server
+        for each in OBJECTS
+    }
+
+
+def test_objects_spread_over_servers():
+    counts = collections.Counter(
+        server.server_id
+        for server in place([candidate(f"s{n}") for n in range(10)]).values()
+    )
+    assert len(counts) == 10
+    assert max(counts.values()) < 1.3 * len(OBJECTS) / 10
+
+
+def test_only_the_objects_of_a_lost_server_move():
+    """Guards warm servers: a change of the pool moves as little as can be."""
+    servers = [candidate(f"s{n}") for n in range(10)]
+    before, after = place(servers), place(servers[1:])
+    moved = [each for each in OBJECTS if before[each] != after[each]]
+    assert moved == [
+        each for each in OBJECTS if before[each].server_id == "s0"
+    ]
+
+
+def test_order_does_not_depend_on_the_list():
+    servers = [candidate(f"s{n}") for n in range(10)]
+    ranks = [
+        [each.view.server.server_id for each in ranked]
+        for ranked in (
+            rank_by_affinity(servers, "x", lambda server: 1.0),
+            rank_by_affinity(servers[::-1], "x", lambda server: 1.0),
+        )
+    ]
+    assert ranks[0] == ranks[1]
+
+
+def test_full_server_passes_its_objects_to_the_next_in_order():
+    servers = [candidate(f"s{n}") for n in range(10)]
+    ranked = rank_by_affinity(servers, OBJECTS[0], lambda server: 10.0)
+    full = attrs.evolve(ranked[0], free=0)
+    others = [each for each in servers if each is not ranked[0]]
+    chosen = place([full, *others])[OBJECTS[0]]
+    assert chosen == ranked[1].view.server
+
+
+def test_other_regions_get_their_weight():
+    servers = [candidate("n1"), candidate("s1", region="south")]
+    placed = place(servers, backends__remote_weight="0.25")
+    remote = sum(server.region == "south" for server in placed.values())
+    assert remote / len(OBJECTS) == pytest.approx(0.2, abs=0.03)
+
+
+def test_home_regions_and_tried_servers_bind():
+    servers = [candidate("n1"), candidate("s1", region="south")]
+    placement = Placement(make_settings("e1", backends__scope="fleet"))
+    for affinity in ("", "x"):
+        for each, expected in (
+            (demand(affinity, home_regions=frozenset({"south"})), "s1"),
+            (demand(affinity, excluded=frozenset({"n1"})), "s1"),
+        ):
+            chosen = placement.choose(servers, each, 0.0)
+            assert chosen.view.server.server_id == expected
+        nowhere = demand(affinity, home_regions=frozenset({"east"}))
+        assert placement.choose(servers, nowhere, 0.0) is None
+
+
+def test_without_an_object_the_own_region_goes_first():
+    servers = [candidate("s1", region="south"), candidate("n1", free=1)]
+    placement = Placement(make_settings("e1", backends__scope="fleet"))
+    assert placement.choose(servers, demand(""), 0).view.server == (
+        servers[1].view.server
+    )
+    full = [servers[0], attrs.evolve(servers[1], free=0)]
+    assert placement.choose(full, demand(""), 0) is full[0]
+
+
+def test_reported_load_fades():
+    reported = ReportedLoad()
+    reported.note("s1", ServerLoad(8, 3, 9), 2, 10.0)
+    assert reported.others("s1", 10.0) == 9
+    assert 0 < reported.others("s1", 11.0) < 9
+    assert reported.others("s1", 20.0) == 0
+    assert reported.others("s2", 10.0) == 0
+
+
+def make_pacers(count, rate=6.0):
+    state = make_state(
+        vms=[
+            (f"e{n}", "north", "north-a", "127.0.0.1:1") for n in range(count)
+        ]
+    )
+    state.services["plots"] = Service("plots", cold_rate_per_s=rate)
+    copy = StandInCopy(state)
+    return state, [
+        ColdPacer(make_settings(f"e{n}"), copy) for n in range(count)
+    ]
+
+
+@pytest.mark.parametrize("count", [1, 3, 20])
+def test_cold_server_gets_no_more_than_its_rate_from_all_vms(count):
+    """Guards a server that comes back against the sum over VMs."""
+    _, pacers = make_pacers(count)
+    server = candidate("s1").view.server
+    sent = []
+    for tick in range(200):
+        now = tick / 20
+        for pacer in pacers:
+            if pacer.may_send(server, now):
+                pacer.note_sent(server, now)
+                sent.append(now)
+    for start in sent:
+        within = sum(start <= at < start + 1 for at in sent)
+        assert within <= 6.0 * 1.5
+    assert len(sent) > 30
+
+
+def test_server_is_cold_until_its_time_is_over():
+    _, (pacer,) = make_pacers(1)
+    view = candidate("s1", cold_left_s=3.0).view
+    assert pacer.is_cold(view, 2.9)
+    assert not pacer.is_cold(view, 3.1)
+
+
+def test_server_is_taken_for_cold_after_an_evacuation():
+    """Guards servers that grew cold while they had nothing to do: what they
+    said before the end of the evacuation may be out of date."""
+    state, (pacer,) = make_pacers(1)
+    view = candidate("s1").view
+    state.evacuations["north-a"] = Evacuation("north-a")
+    pacer.follow(1.0)
+    del state.evacuations["north-a"]
+    pacer.follow(5.0)
+    assert pacer.is_cold(view, 5.1)
+    assert not pacer.is_cold(attrs.evolve(view, load_at=5.2), 5.3)
