Go on after a full disk; take no reset for the end of an answer

Change: such an answer is cut if its connection was reset. A replica whose disk refuses writes for want of room drops what was not synced and reads its folder again until writes succeed. Replicas that stay silent are removed, and limits of the configuration bind the front door.

The tests of the reset and of the full disk were seen failing without the change.

--- a/medlarhollow/agreement/leading.py
+++ b/medlarhollow/agreement/leading.py
@@ -16,6 +16,7 @@
 from ..transport import call
 from .node import Role
 from .progress import Progress
+from .replicas import plan_removal
 from .replicas import plan_upkeep
 
 __all__ = [
@@ -156,6 +157,24 @@
                 progress.seen_incarnation,
             )
             add_entry(node, new_replicas_entry(node, replicas))
+    _remove_gone(node, now)
+
+
+def _remove_gone(node, now):
+    """Remove a replica that has been silent for too long, if ordered so."""
+    limit_s = node.settings.control.removal_s
+    if not limit_s or not node.may_change_replicas:
+        return
+    silent_s = {
+        name: now - max(progress.answered_at, node.led_since)
+        for name, progress in node.progress.items()
+    }
+    replicas = plan_removal(node.log.replicas, silent_s, limit_s)
+    if replicas is not None:
+        _LOG.warning(
+            "agreement: removes a replica that was silent for %g s", limit_s
+        )
+        add_entry(node, new_replicas_entry(node, replicas))
 
 
 async def _run_peer(node, progress, channels):
--- a/medlarhollow/agreement/node.py
+++ b/medlarhollow/agreement/node.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import enum
+import errno
 import logging
 
 import attrs
@@ -20,6 +21,9 @@
 __all__ = ["Node", "Role"]
 
 _LOG = logging.getLogger(__name__)
+# A disk with these faults takes writes again later, and holds all that it
+# acknowledged. After others what it holds is unknown.
+_PASSING_ERRORS = frozenset({errno.ENOSPC, errno.EDQUOT, errno.EROFS})
 
 
 class Role(enum.Enum):
@@ -51,6 +55,9 @@
     stop_process : callable
         Called with a sentence when the disk has failed; must not let the
         process go on.
+    reopen : callable
+        Called with a sentence when the disk takes no writes for now; this
+        node is then of no more use.
     lock : asyncio.Lock
         Held while term, vote or log change in a way that the disk must
         follow.
@@ -69,6 +76,7 @@
     ledger: object
     store: object
     stop_process: object
+    reopen: object
     commit_index: int = 0
     applied_index: int = 0
     synced_index: int = 0
@@ -229,7 +237,10 @@
             self.failed = True
             self.step_down()
             detail = f"the data folder failed: {error}"
-            self.stop_process(detail)
+            if error.errno in _PASSING_ERRORS:
+                self.reopen(detail)
+            else:
+                self.stop_process(detail)
             raise StorageError(detail) from error
 
     async def save_hard_state(self, hard):
--- a/medlarhollow/agreement/replica.py
+++ b/medlarhollow/agreement/replica.py
@@ -14,6 +14,7 @@
 from result import Ok
 
 from ..errors import fail
+from ..errors import FailureError
 from ..messages.records import ErrorKind
 from ..messages.records import ProposeRequest
 from ..messages.records import ReplicaStatus
@@ -40,6 +41,8 @@
 
 _LOG = logging.getLogger(__name__)
 EXIT_STORAGE_FAILED = 4
+# Time between attempts to use a disk that takes no writes.
+_REOPEN_S = 0.5
 # Time between looks at the answers of the other replicas; a round trip
 # between regions takes 40 ms.
 _CONFIRM_S = 0.01
@@ -67,6 +70,7 @@
         self._store = None
         self._node = None
         self._tasks = []
+        self._reopening = None
 
     @property
     def state(self):
@@ -166,6 +170,10 @@
             own.control.data_dir, own.vm.cluster, own.vm.name
         )
         loaded = await asyncio.to_thread(self._store.open)
+        self._begin(loaded)
+
+    def _begin(self, loaded):
+        """Run the tasks of a node that holds what the folder held."""
         self._node = self._make_node(*loaded)
         jobs = (
             run_writer(self._node),
@@ -180,9 +188,11 @@
 
     async def stop(self):
         """Stop the tasks of this replica."""
-        for task in self._tasks:
+        tasks = [*self._tasks, self._reopening]
+        tasks = [task for task in tasks if task is not None]
+        for task in tasks:
             task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await asyncio.gather(*tasks, return_exceptions=True)
         if self._node is not None:
             async with self._node.lock:
                 self._node.step_down()
@@ -352,6 +362,7 @@
             ledger=self._ledger,
             store=self._store,
             stop_process=self._stop_process,
+            reopen=self._reopen_soon,
             commit_index=index,
             applied_index=index,
             synced_index=log.last_index,
@@ -359,6 +370,29 @@
             time_s=max(log.last_time_s, self.state.time_s),
         )
 
+    def _reopen_soon(self, detail):
+        _LOG.warning("agreement: reads its folder again: %s", detail)
+        self._reopening = asyncio.create_task(self._reopen())
+
+    async def _reopen(self):
+        """Start anew from the folder as soon as the disk takes writes."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        while True:
+            await asyncio.sleep(_REOPEN_S)
+            try:
+                await asyncio.to_thread(self._store.discard_unsynced)
+                loaded = await asyncio.to_thread(self._store.open)
+                break
+            except OSError as error:
+                _LOG.info("agreement: the folder is not usable: %s", error)
+            except FailureError as error:
+                self._stop_process(str(error))
+                return
+        self._ledger = Ledger(self._settings)
+        self._begin(loaded)
+
     def _check_task(self, task):
         """Stop the process if a task of the replica ended by a fault."""
         if task.cancelled() or task.exception() is None:
--- a/medlarhollow/agreement/replicas.py
+++ b/medlarhollow/agreement/replicas.py
@@ -17,6 +17,7 @@
 
 __all__ = [
     "find_replica",
+    "plan_removal",
     "plan_upkeep",
     "replace_replica",
     "set_replicas",
@@ -24,6 +25,10 @@
 ]
 
 
+# Fewer voters do not survive the loss of one.
+_LEAST_VOTERS = 3
+
+
 def find_replica(replicas, name):
     """Return the replica of a name, or None."""
     return next(
@@ -119,6 +124,43 @@
     return None
 
 
+def plan_removal(replicas, silent_s, limit_s):
+    """Return the set without a replica that is gone for good.
+
+    Parameters
+    ----------
+    replicas : ReplicaSet
+        The set in force; its entry is committed.
+    silent_s : dict of str to float
+        For each other replica, the time in seconds since it last answered.
+    limit_s : float
+        Time after which a silent replica is removed.
+
+    Returns
+    -------
+    ReplicaSet or None
+        None if nothing is to be done. Only one is removed at a time, and
+        only while more than half of the others answer, so that the voters
+        left are not the ones that were cut off.
+    """
+    gone = [
+        known
+        for known in replicas.replicas
+        if silent_s.get(known.name, 0.0) > limit_s
+    ]
+    if not gone:
+        return None
+    # Those without a vote first: they cost nothing to lose.
+    first = min(gone, key=lambda one: (one.voter, one.name))
+    voters = len(voters_of(replicas))
+    answering = voters - sum(one.voter for one in gone)
+    if first.voter and (voters <= _LEAST_VOTERS or answering * 2 <= voters):
+        return None
+    return ReplicaSet(
+        replicas=tuple(one for one in replicas.replicas if one is not first)
+    )
+
+
 def _remove(replicas, wanted, known):
     if known is None:
         return fail(ErrorKind.NOT_FOUND, f"no replica '{wanted.name}'")
--- a/medlarhollow/agreement/tests/test_joining.py
+++ b/medlarhollow/agreement/tests/test_joining.py
@@ -54,3 +54,19 @@
     assert not await cluster.replicas[leader].confirm(0.05)
     await asyncio.sleep(0)
     await cluster.stop()
+
+
+async def test_replica_that_is_gone_is_removed(tmp_path):
+    """Guards the quorum when VMs are exchanged one after the other."""
+    cluster = FakeCluster(tmp_path, join="yes", removal_s="0.5")
+    cluster.names = list("abcd")
+    await cluster.start(*"abcd")
+    leader = await cluster.leader()
+    await eventually(lambda: voters(cluster, leader) == set("abcd"))
+    gone = cluster.others(leader)[0]
+    await cluster.stop(gone)
+    left = set("abcd") - {gone}
+    await eventually(lambda: voters(cluster, leader) == left)
+    await cluster.start(gone)
+    await eventually(lambda: voters(cluster, leader) == set("abcd"))
+    await cluster.stop()
--- a/medlarhollow/agreement/tests/test_replicas_recover.py
+++ b/medlarhollow/agreement/tests/test_replicas_recover.py
@@ -1,6 +1,7 @@
 """Catching up, failing disks and changes of the replica set."""
 
 import asyncio
+import errno
 import os
 import threading
 
@@ -210,3 +211,31 @@
         log.append(LogEntry(index=index, term=entry_term))
     request = AppendRequest(previous_index=previous, previous_term=term)
     assert find_conflict(log, request) == hint
+
+
+async def test_replica_goes_on_when_its_full_disk_has_room_again(
+    tmp_path, monkeypatch
+):
+    """Guards the quorum against a disk that takes no writes for a while: the
+    replica neither acknowledges nor ends, and has lost nothing after it."""
+    cluster = FakeCluster(tmp_path)
+    await cluster.start()
+    leader = await cluster.leader()
+    full = cluster.others(leader)[0]
+    await cluster.replicas[leader].propose(put_account("before"))
+    store = cluster.replicas[full]._store
+
+    def refuse(*arguments):
+        raise OSError(errno.ENOSPC, "no space left on device")
+
+    with monkeypatch.context() as patch:
+        patch.setattr(store, "append", refuse)
+        patch.setattr(store, "save_hard_state", refuse)
+        result = await cluster.replicas[leader].propose(put_account("during"))
+        assert result.is_ok()
+        await asyncio.sleep(1.0)
+        assert cluster.stopped == []
+    await cluster.caught_up(full)
+    assert set(cluster.replicas[full].state.accounts) == {"before", "during"}
+    assert cluster.stopped == []
+    await cluster.stop()
--- a/medlarhollow/daemon/front_door.py
+++ b/medlarhollow/daemon/front_door.py
@@ -32,8 +32,8 @@
 
     Parameters
     ----------
-    limits : EntrySettings
-        Gives `header_limit_bytes` and `head_timeout_s`.
+    limits : EntrySettings or CallerBounds
+        Gives `header_limit_bytes`, `head_timeout_s` and `keep_alive_s`.
     **options
         For the base class.
 
@@ -65,6 +65,7 @@
         """Start to wait for the first head."""
         super().connection_made(transport)
         self._turns = Turns(transport)
+        self.timeout_keep_alive = self._limits.keep_alive_s
         self._start_head_timer()
 
     def connection_lost(self, exc):
--- a/medlarhollow/daemon/http.py
+++ b/medlarhollow/daemon/http.py
@@ -30,7 +30,7 @@
         ``host:port`` to listen on.
     drain_limit_s : float
         Limit for running requests at a stop, in seconds.
-    limits : EntrySettings or None
+    limits : EntrySettings, CallerBounds or None
         Limits for connections and request heads; None for the defaults.
     """
 
--- a/medlarhollow/daemon/process.py
+++ b/medlarhollow/daemon/process.py
@@ -35,6 +35,7 @@
 from ..transport import Channels
 from ..transport import PeerServer
 from ..transport.secret import read_secret
+from .bounds import CallerBounds
 from .doors import Frontend
 from .fleet_service import FleetService
 from .http import HttpServer
@@ -309,15 +310,14 @@
         own = self._settings
         vm = self._entry_vm(client)
         self._telemetry.observe("queue_length", lambda: vm.waiting)
+        bounds = CallerBounds(own.entry, self._copy)
         admin = None
         if self._replica is not None:
             admin = FleetAdmin(
                 own, self._replica, self._channels, self._reports
             )
         return [
-            HttpServer(
-                door.app, door.address, own.entry.drain_limit_s, own.entry
-            )
+            HttpServer(door.app, door.address, own.entry.drain_limit_s, bounds)
             for door in self._frontend.list_doors(vm, admin)
         ]
 
--- a/medlarhollow/entry/backend_client.py
+++ b/medlarhollow/entry/backend_client.py
@@ -118,10 +118,12 @@
                 async with asyncio.timeout(stall_s):
                     chunk = await answer.response.content.readany()
                 if not chunk:
-                    return
+                    break
                 yield chunk
         except (aiohttp.ClientError, OSError) as error:
             raise CutAnswerError(str(error)) from error
+        if answer.was_reset:
+            raise CutAnswerError("the connection was reset")
 
     async def forget(self, address):
         """Use none of the present connections to a server again.
@@ -184,6 +186,19 @@
     def __init__(self, response, pool):
         self._response = response
         self._pool = pool
+        connection = response.connection
+        self._protocol = None if connection is None else connection.protocol
+
+    @property
+    def was_reset(self):
+        """Whether the connection was reset before the end of the body.
+
+        aiohttp takes each end of a connection for the end of a body without
+        a length.
+        """
+        if self._protocol is None:
+            return False
+        return isinstance(self._protocol.exception(), OSError)
 
     @property
     def response(self):
--- a/medlarhollow/settings/generated.py
+++ b/medlarhollow/settings/generated.py
@@ -57,6 +57,7 @@
     data_dir: str = ""
     bootstrap: bool = False
     join: bool = False
+    removal_s: float = 0.0
     heartbeat_s: float = 0.15
     election_timeout_s: float = 1.0
     snapshot_entries: int = 2000
@@ -283,6 +284,13 @@
                 type="bool",
                 help="Ask the leader to add this replica when no leader sends to it, so that replicas come and go without an operator's order.",
             ),
+            Option(
+                name="removal_s",
+                type="float",
+                lowest=0.0,
+                highest=86400.0,
+                help="Time after which the leader removes a silent replica; 0 to leave that to operators. A replica that comes back joins again only with join.",
+            ),
             Option(
                 name="heartbeat_s",
                 type="float",
--- a/medlarhollow/storage/log_files.py
+++ b/medlarhollow/storage/log_files.py
@@ -1,5 +1,6 @@
 """Log entries in segment files that are only appended to."""
 
+import contextlib
 import os
 import pathlib
 
@@ -142,6 +143,22 @@
         self._begin_segment()
         self.compact(0)
 
+    def discard_unsynced(self):
+        """Close the files and remove what a failed write left behind.
+
+        Raises
+        ------
+        OSError
+            If the disk still takes nothing; to be called again later.
+        """
+        # Closing writes what is buffered, which must not reach the disk.
+        with contextlib.suppress(OSError):
+            self.close()
+        self._file = None
+        if self._segments:
+            with contextlib.suppress(FileNotFoundError):
+                os.truncate(self._segments[-1].path, self._durable)
+
     def close(self):
         """Close the last segment."""
         if self._file is not None:
@@ -158,6 +175,7 @@
             name = self._segments[-1].path.name
             number = int(name.removeprefix(_PREFIX)) + 1
         path = self._folder / f"{_PREFIX}{number:012d}"
+        self._durable = 0
         self._segments.append(_Segment(path))
         self._open(path, 0)
         sync_folder(self._folder)
--- a/medlarhollow/storage/store.py
+++ b/medlarhollow/storage/store.py
@@ -83,9 +83,24 @@
         held = self._log.load()
         return identity, hard, snapshot, self._join(snapshot, held)
 
+    def discard_unsynced(self):
+        """Close the files after a failed write, for :meth:`open` anew.
+
+        Raises
+        ------
+        OSError
+            If the disk still takes nothing; to be called again later.
+        """
+        self._log.discard_unsynced()
+        self._log = LogFiles(self._folder)
+        self._unlock()
+
     def close(self):
         """Close the files."""
         self._log.close()
+        self._unlock()
+
+    def _unlock(self):
         if self._lock is not None:
             self._lock.close()
             self._lock = None
