Keep each object on two servers; shed what cannot be answered in time

Ruled out: want of processor time, 0.25 of a core at most.

Change: an object uses the first two servers of its order and waits for them; requests behind one that waits may go first; a request that cannot be answered in time is refused; a full server's refusal is no failure, one with room is; two attempts without a connection eject.

--- a/medlarhollow/configuration/replacement.py
+++ b/medlarhollow/configuration/replacement.py
@@ -79,6 +79,10 @@
     state.routes = {
         (route.host, route.path_prefix): route for route in new.routes
     }
+    state.longest_stale_keys_s = max(
+        [state.longest_stale_keys_s]
+        + [route.stale_keys_s for route in new.routes]
+    )
     state.limits = new.limits
     state.document = new.document
     state.configuration_version = new.version
--- a/medlarhollow/entry/slot.py
+++ b/medlarhollow/entry/slot.py
@@ -68,6 +68,8 @@
         """Note how the attempt ended, at its head or without one."""
         self._latency_s = time.monotonic() - self._started_at
         self._result = _RESULTS.get(type(end), AttemptResult.OK)
+        if isinstance(end, Refused) and not self.remote:
+            self._result = AttemptResult.REFUSED
         if isinstance(end, Answered) and end.status >= _SERVER_ERROR:
             self._result = AttemptResult.ERROR
 
--- a/medlarhollow/steering/affinity.py
+++ b/medlarhollow/steering/affinity.py
@@ -9,6 +9,7 @@
 
 import functools
 import hashlib
+import heapq
 import math
 
 __all__ = ["choose_by_affinity", "rank_by_affinity"]
@@ -17,6 +18,9 @@
 _MASK = (1 << _BITS) - 1
 # Bits of a hash that a float between 0 and 1 holds exactly.
 _POINT_BITS = 52
+# Servers that keep one object. A second one takes over at once when the first
+# is full or lost; more would hold each object without need.
+_SERVERS_PER_OBJECT = 2
 # Objects and servers whose hashes are kept; a fleet has a few thousand
 # servers, and requests concentrate on some thousand objects.
 _KEPT_HASHES = 16384
@@ -48,7 +52,7 @@
 
 
 def choose_by_affinity(candidates, key, weigh):
-    """Return the first free server in the order of an object.
+    """Return the first free one of an object's own servers.
 
     Parameters
     ----------
@@ -62,20 +66,22 @@
     Returns
     -------
     Candidate or None
-        None if no server is free.
+        None if neither of the first two in its order is free.
 
     Notes
     -----
-    A server that is full passes its objects on to the next ones in their
-    orders, which are the same on all VMs (bounded loads, Mirrokni, Thorup
-    and Zadimoghaddam 2018).
+    A server that is full passes its objects on to the second one in their
+    orders, which are the same on all VMs. Further ones are not used: with
+    bounded loads (Mirrokni, Thorup and Zadimoghaddam 2018) an overload would
+    spread every object over all servers, none of which would keep it.
     """
     key_hash = _hash(key)
-    return max(
-        (candidate for candidate in candidates if candidate.free > 0),
+    own = heapq.nlargest(
+        _SERVERS_PER_OBJECT,
+        candidates,
         key=lambda candidate: _score(key_hash, candidate.view.server, weigh),
-        default=None,
     )
+    return next((candidate for candidate in own if candidate.free > 0), None)
 
 
 def _score(key_hash, server, weigh):
--- a/medlarhollow/steering/assignment.py
+++ b/medlarhollow/steering/assignment.py
@@ -17,6 +17,7 @@
     ERROR = "error"
     UNANSWERED = "unanswered"
     NOT_SENT = "not sent"
+    REFUSED = "refused"
     CANCELLED = "cancelled"
 
 
--- a/medlarhollow/steering/dispatcher.py
+++ b/medlarhollow/steering/dispatcher.py
@@ -31,6 +31,9 @@
 # Longest wait for credit when the data centre has no server of a service.
 _CREDIT_WAIT_S = 1.0
 _UNUSED_POOL_S = 60.0
+# Part of the mean latency that a request needs at least; fast ones take about
+# this much.
+_LEAST_LATENCY_PART = 0.5
 
 
 class Dispatcher:
@@ -111,11 +114,11 @@
             if demand.local_only or not self._may_spill():
                 return _no_backend(pool)
             limit_at = min(limit_at, now + _CREDIT_WAIT_S)
-        elif now + pool.expected_wait_s(demand) >= demand.deadline_at:
-            return fail(
-                ErrorKind.OVERLOADED,
-                f"'{pool.service}' cannot serve this before its deadline",
-            )
+        elif now + pool.expected_wait_s(demand) >= self._last_start(
+            pool, demand
+        ):
+            return _too_late(pool)
+        limit_at = min(limit_at, self._last_start(pool, demand))
         return await self._wait(pool, demand, limit_at, now)
 
     def release(self, assignment, result, latency_s, now):
@@ -282,6 +285,15 @@
             return None
         return self._take_credit(pool, demand, now)
 
+    def _last_start(self, pool, demand):
+        """Return until when it is worth to start a request.
+
+        One that cannot be answered in time would take a slot for nothing.
+        """
+        if pool.latency_s is None:
+            return demand.deadline_at
+        return demand.deadline_at - pool.latency_s * _LEAST_LATENCY_PART
+
     def _may_spill(self):
         """Tell whether other data centres may grant credit."""
         return not self._is_fleet_wide and self._spill.has_others()
@@ -312,8 +324,10 @@
         except TimeoutError:
             if _has_result(future):
                 return future.result()
-            if limit_at < demand.deadline_at:
+            if not self._has_server(pool, demand, time.monotonic()):
                 return _no_backend(pool)
+            if limit_at < demand.deadline_at:
+                return _too_late(pool)
             return fail(
                 ErrorKind.DEADLINE_EXCEEDED,
                 f"no free slot of '{pool.service}' before the deadline",
@@ -400,5 +414,12 @@
     return fail(ErrorKind.NO_BACKEND, f"no backend server of '{pool.service}'")
 
 
+def _too_late(pool):
+    return fail(
+        ErrorKind.OVERLOADED,
+        f"'{pool.service}' cannot serve this before its deadline",
+    )
+
+
 def _overloaded(pool):
     return fail(ErrorKind.OVERLOADED, f"the queue of '{pool.service}' is full")
--- a/medlarhollow/steering/health.py
+++ b/medlarhollow/steering/health.py
@@ -14,6 +14,9 @@
     AttemptResult.NOT_SENT,
 }
 _CONSECUTIVE_FAILURES = 5
+# Attempts in a row without a connection: a server that is gone or cut off
+# costs each request the time of a connection attempt.
+_CONSECUTIVE_UNREACHED = 2
 # Error rate of the recent attempts, and how many must be known for it.
 _ERROR_RATE = 0.5
 _LEAST_ATTEMPTS = 20
@@ -28,6 +31,7 @@
 class _Record:
     since: float
     consecutive: int = 0
+    unreached: int = 0
     attempts: float = 0.0
     failures: float = 0.0
     ejections: int = 0
@@ -104,6 +108,8 @@
         record.attempts = record.attempts * keep + 1
         record.failures = record.failures * keep + failed
         record.consecutive = record.consecutive + 1 if failed else 0
+        is_unreached = result is AttemptResult.NOT_SENT
+        record.unreached = record.unreached + 1 if is_unreached else 0
         if not failed:
             quiet_s = now - record.ejected_until
             if quiet_s > _FORGIVEN_FACTOR * self._ejection_s:
@@ -116,7 +122,7 @@
         factor = min(2**record.ejections, _LONGEST_FACTOR)
         record.ejections += 1
         record.ejected_until = now + self._ejection_s * factor
-        record.consecutive = 0
+        record.consecutive = record.unreached = 0
         record.attempts = record.failures = 0.0
         return True
 
@@ -154,7 +160,10 @@
         return record
 
     def _is_outlier(self, record):
-        return record.consecutive >= _CONSECUTIVE_FAILURES or (
+        return (
+            record.consecutive >= _CONSECUTIVE_FAILURES
+            or record.unreached >= _CONSECUTIVE_UNREACHED
+        ) or (
             record.attempts >= _LEAST_ATTEMPTS
             and record.failures > record.attempts * _ERROR_RATE
         )
--- a/medlarhollow/steering/queue.py
+++ b/medlarhollow/steering/queue.py
@@ -1,6 +1,7 @@
 """Queue by priority, with fair queueing by client account."""
 
 import collections
+import itertools
 
 import attrs
 
@@ -12,6 +13,8 @@
 # Of this many requests that leave the queue, one is of a lower priority if
 # any waits: patient work is late but does not starve.
 _TURN = 10
+# Requests of one account that are looked at for one that can go.
+_LOOK_AHEAD = 16
 
 
 @attrs.define(eq=False)
@@ -55,10 +58,15 @@
         self.count += 1
         return ticket
 
-    def heads(self):
+    def first(self, depth):
+        """Return the heads and then those behind them, in fair order."""
+        tickets = [
+            ticket
+            for line in self.accounts.values()
+            for ticket in itertools.islice(line, depth)
+        ]
         return sorted(
-            (line[0] for line in self.accounts.values()),
-            key=lambda ticket: (ticket.start, ticket.account),
+            tickets, key=lambda ticket: (ticket.start, ticket.account)
         )
 
     def remove(self, ticket):
@@ -128,8 +136,8 @@
         Parameters
         ----------
         can_take : callable
-            Tells whether an item can go now; each account's first one is
-            asked for.
+            Tells whether an item can go now; each account's first ones are
+            asked for, since a request may wait for servers of its own.
 
         Returns
         -------
@@ -138,7 +146,7 @@
         """
         for priority in self._turns():
             one = self._classes[priority]
-            for ticket in one.heads():
+            for ticket in one.first(_LOOK_AHEAD):
                 if can_take(ticket.item):
                     one.virtual_time = max(one.virtual_time, ticket.start)
                     one.remove(ticket)
--- a/medlarhollow/steering/reported_load.py
+++ b/medlarhollow/steering/reported_load.py
@@ -32,6 +32,7 @@
 class _Report:
     others: int
     at: float
+    has_room: bool
 
 
 class ReportedLoad:
@@ -55,7 +56,8 @@
             Monotonic time in seconds.
         """
         others = load.running + load.waiting - own_in_flight
-        self._reports[server_id] = _Report(max(0, others), now)
+        has_room = load.running < load.slots
+        self._reports[server_id] = _Report(max(0, others), now, has_room)
 
     def others(self, server_id, now):
         """Return the requests of other VMs at a server.
@@ -77,6 +79,15 @@
             return 0.0
         return report.others * max(0.0, 1 - (now - report.at) / _AGE_LIMIT_S)
 
+    def has_room(self, server_id, now):
+        """Tell whether a server said just now that it has a free slot."""
+        report = self._reports.get(server_id)
+        return (
+            report is not None
+            and now - report.at < _AGE_LIMIT_S
+            and report.has_room
+        )
+
     def forget(self, server_ids):
         """Keep only the reports of the given servers."""
         self._reports = {
--- a/medlarhollow/steering/slots.py
+++ b/medlarhollow/steering/slots.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from .assignment import AttemptResult
 from .choice import list_candidates
 from .cold import ColdPacer
 from .health import OutlierDetector
@@ -97,6 +98,12 @@
         self._in_flight[server_id] -= 1
         if self._in_flight[server_id] <= 0:
             del self._in_flight[server_id]
+        if result is AttemptResult.REFUSED:
+            # A full server does as it should; one that refuses although it
+            # has room fails like others.
+            if not self._reported.has_room(server_id, now):
+                return
+            result = AttemptResult.ERROR
         views, _ = self._views(server.service, version, now)
         for view in views:
             if view.server.server_id == server_id and (
--- a/medlarhollow/steering/tests/test_choice.py
+++ b/medlarhollow/steering/tests/test_choice.py
@@ -178,3 +178,14 @@
     fail_times(detector, views[0], views, 5)
     views[0] = ServerView(views[0].server, NOW, NOW)
     assert len(detector.usable(views, NOW)) == 4
+
+
+def test_server_that_takes_no_connection_is_ejected_soon():
+    """Guards latency against servers that vanish without a word."""
+    views = [make_view(name) for name in "abcd"]
+    detector = OutlierDetector(make_settings("a"))
+    assert not detector.note(views[0], views, AttemptResult.NOT_SENT, NOW)
+    assert not detector.note(views[0], views, AttemptResult.OK, NOW)
+    assert not detector.note(views[0], views, AttemptResult.NOT_SENT, NOW)
+    assert detector.note(views[0], views, AttemptResult.NOT_SENT, NOW)
+    assert views[0] not in detector.usable(views, NOW)
--- a/medlarhollow/steering/tests/test_placement.py
+++ b/medlarhollow/steering/tests/test_placement.py
@@ -90,6 +90,22 @@
     assert chosen == ranked[1].view.server
 
 
+def test_overload_does_not_spread_an_object_over_all_servers():
+    """Guards warm servers: with its own two servers full, an object waits
+    and does not push others out of the rest."""
+    servers = [candidate(f"s{n}") for n in range(10)]
+    ranked = rank_by_affinity(servers, "x", lambda server: 10.0)
+    full = {each.view.server.server_id for each in ranked[:2]}
+    servers = [
+        attrs.evolve(each, free=0)
+        if each.view.server.server_id in full
+        else each
+        for each in servers
+    ]
+    placement = Placement(make_settings("e1", backends__scope="fleet"))
+    assert placement.choose(servers, demand("x"), 0.0) is None
+
+
 def test_other_regions_get_their_weight():
     servers = [candidate("n1"), candidate("s1", region="south")]
     placed = place(servers, backends__remote_weight="0.25")
--- a/medlarhollow/steering/tests/test_queue.py
+++ b/medlarhollow/steering/tests/test_queue.py
@@ -150,3 +150,12 @@
     queue.discard(ticket)
     assert len(queue) == 5
     assert queue.ahead(ORDINARY, "crew") == 1
+
+
+def test_request_whose_servers_are_full_does_not_hold_up_its_account():
+    """Guards latency where each request waits for servers of its own."""
+    queue = FairQueue(100)
+    fill(queue, ORDINARY, "crew", 3)
+    ticket = queue.pop(lambda item: item[1] == 1)
+    assert ticket.item == ("crew", 1)
+    assert drain(queue) == [("crew", 0), ("crew", 2)]
--- /dev/null
+++ b/medlarhollow/steering/tests/test_refusals.py
@@ -0,0 +1,60 @@
+"""What is learned from a server's refusals."""
+
+import pytest
+
+from medlarhollow.limits.tests.support import make_settings
+from medlarhollow.limits.tests.support import StandInCopy
+from medlarhollow.membership import Directory
+from medlarhollow.messages.records import BackendServer
+from medlarhollow.messages.records import Evacuation
+from medlarhollow.steering import AttemptResult
+from medlarhollow.steering import ServerLoad
+from medlarhollow.steering.slots import Slots
+
+
+@pytest.fixture
+def directory():
+    directory = Directory(make_settings("e1"))
+    for name in "abcd":
+        directory.announce(
+            BackendServer(
+                server_id=name,
+                service="plots",
+                version="1",
+                address=f"127.0.0.1:{ord(name)}",
+                slots=4,
+                data_centre=f"{name}-a",
+            ),
+            0.0,
+        )
+    return directory
+
+
+def refuse(slots, directory, load, count=40):
+    view = directory.views("plots", "1", 1.0)[0]
+    for _ in range(count):
+        slots.take(view, 1.0)
+        slots.note_load(view.server.server_id, load, 1.0)
+        slots.give_back(view.server, "1", AttemptResult.REFUSED, 1.0)
+    candidates = slots.candidates("plots", "1", 1.1)
+    return view.server in [each.view.server for each in candidates]
+
+
+def test_full_server_is_not_ejected(directory):
+    """Guards an overload: ejecting full servers leaves less room."""
+    slots = Slots(make_settings("e1"), directory, StandInCopy())
+    assert refuse(slots, directory, ServerLoad(4, 9, 4))
+
+
+def test_server_that_refuses_with_room_is_ejected(directory):
+    """Guards requests against a server that is well by its own word."""
+    slots = Slots(make_settings("e1"), directory, StandInCopy())
+    assert not refuse(slots, directory, ServerLoad(1, 0, 4))
+
+
+def test_evacuated_data_centre_gets_no_work(directory):
+    copy = StandInCopy()
+    slots = Slots(make_settings("e1"), directory, copy)
+    copy.state.evacuations["b-a"] = Evacuation("b-a")
+    servers = slots.servers("plots", "1", 1.0)
+    assert sorted(server.server_id for server in servers) == ["a", "c", "d"]
