Need no slow start to use an ejected server; keep room for bound accounts

With most of a pool ejected, a server whose ejection has not ended is used, and its slow start of 0 s was divided by (reproduced by the new test). One account was served 0.20 of its requests against 0.86 of all: it is bound to a region with few servers, which all others filled.

--- a/medlarhollow/steering/choice.py
+++ b/medlarhollow/steering/choice.py
@@ -121,7 +121,7 @@
 
 
 def _warm_part(age_s, ramp_s):
-    if age_s >= ramp_s:
+    if not ramp_s or age_s >= ramp_s:
         return 1.0
     return _COLD_PART + (1 - _COLD_PART) * max(0.0, age_s) / ramp_s
 
--- a/medlarhollow/steering/dispatcher.py
+++ b/medlarhollow/steering/dispatcher.py
@@ -59,7 +59,7 @@
         self._directory = directory
         self._versions = versions or VersionSelector(settings, copy)
         self._pools = {}
-        self._placement = Placement(settings)
+        self._placement = Placement(settings, copy)
         self._slots = Slots(settings, directory, copy)
         self._is_fleet_wide = settings.backends.scope == "fleet"
         self._spill = Spill(settings, copy, channels)
--- a/medlarhollow/steering/placement.py
+++ b/medlarhollow/steering/placement.py
@@ -1,7 +1,10 @@
 """Choose among the free backend servers of a pool for one request."""
 
+import math
 import random
 
+import attrs
+
 from .affinity import choose_by_affinity
 from .choice import choose_server
 
@@ -10,6 +13,9 @@
 # Weight of a server of a region that is given none; above 0, since it may be
 # the only one that is free.
 _LEAST_WEIGHT = 1e-6
+# Part of the slots of a region's servers that is kept for requests which may
+# run in no other region.
+_RESERVE_PART = 0.2
 
 
 class Placement:
@@ -19,9 +25,14 @@
     ----------
     settings : Settings
         Sections ``vm`` and ``backends`` are read.
+    copy : FleetCopy
+        Names the home regions of accounts and routes.
     """
 
-    def __init__(self, settings):
+    def __init__(self, settings, copy):
+        self._copy = copy
+        self._seen = None
+        self._home_regions = frozenset()
         self._region = settings.vm.region
         self._is_fleet_wide = settings.backends.scope == "fleet"
         self._remote_weight = settings.backends.remote_weight
@@ -47,7 +58,7 @@
             those allowed is free.
         """
         allowed = [
-            candidate
+            self._keep_reserve(candidate, demand)
             for candidate in candidates
             if is_allowed(candidate.view.server, demand)
         ]
@@ -57,6 +68,29 @@
             allowed = self._prefer_near(allowed)
         return choose_server(allowed, frozenset(), self._generator, now)
 
+    def _keep_reserve(self, candidate, demand):
+        """Return a candidate less what is kept for those bound to its region.
+
+        Requests with home regions have no other servers, so the rest, which
+        has, must not fill these.
+        """
+        server = candidate.view.server
+        if demand.home_regions or server.region not in self._list_homes():
+            return candidate
+        reserve = math.ceil(server.slots * _RESERVE_PART)
+        return attrs.evolve(candidate, free=candidate.free - reserve)
+
+    def _list_homes(self):
+        """Return the regions that some accounts or routes are bound to."""
+        state = self._copy.state
+        if self._seen != (id(state), state.configuration_version):
+            self._seen = (id(state), state.configuration_version)
+            bound = [*state.accounts.values(), *state.routes.values()]
+            self._home_regions = frozenset(
+                region for each in bound for region in each.home_regions
+            )
+        return self._home_regions
+
     def _prefer_near(self, candidates):
         near = [
             candidate
--- a/medlarhollow/steering/tests/test_choice.py
+++ b/medlarhollow/steering/tests/test_choice.py
@@ -189,3 +189,12 @@
     assert not detector.note(views[0], views, AttemptResult.NOT_SENT, NOW)
     assert detector.note(views[0], views, AttemptResult.NOT_SENT, NOW)
     assert views[0] not in detector.usable(views, NOW)
+
+
+def test_no_slow_start_for_an_ejected_server_that_is_needed():
+    """Guards the process: with most of a pool ejected, servers are used
+    before their ejection ends, also where there is no slow start."""
+    found = list_candidates(
+        [make_view("a")], {}, 1, lambda view: NOW + 5.0, NOW, 0.0
+    )
+    assert found[0].slots == 8
--- a/medlarhollow/steering/tests/test_placement.py
+++ b/medlarhollow/steering/tests/test_placement.py
@@ -9,6 +9,7 @@
 from medlarhollow.limits.tests.support import make_state
 from medlarhollow.limits.tests.support import StandInCopy
 from medlarhollow.membership.directory import ServerView
+from medlarhollow.messages.records import Account
 from medlarhollow.messages.records import BackendServer
 from medlarhollow.messages.records import Evacuation
 from medlarhollow.messages.records import Route
@@ -40,10 +41,15 @@
     return Demand(Route(), "", 1.0, 0.0, affinity=affinity, **more)
 
 
-def place(candidates, **settings):
-    placement = Placement(
-        make_settings("e1", backends__scope="fleet", **settings)
+def make_placement(state=None, **settings):
+    return Placement(
+        make_settings("e1", backends__scope="fleet", **settings),
+        StandInCopy(state),
     )
+
+
+def place(candidates, **settings):
+    placement = make_placement(**settings)
     return {
         each: placement.choose(candidates, demand(each), 0.0).view.server
         for each in OBJECTS
@@ -102,7 +108,7 @@
         else each
         for each in servers
     ]
-    placement = Placement(make_settings("e1", backends__scope="fleet"))
+    placement = make_placement()
     assert placement.choose(servers, demand("x"), 0.0) is None
 
 
@@ -115,7 +121,7 @@
 
 def test_home_regions_and_tried_servers_bind():
     servers = [candidate("n1"), candidate("s1", region="south")]
-    placement = Placement(make_settings("e1", backends__scope="fleet"))
+    placement = make_placement()
     for affinity in ("", "x"):
         for each, expected in (
             (demand(affinity, home_regions=frozenset({"south"})), "s1"),
@@ -127,9 +133,23 @@
         assert placement.choose(servers, nowhere, 0.0) is None
 
 
+@pytest.mark.parametrize("affinity", ["", "x"])
+def test_slots_are_kept_for_accounts_bound_to_a_region(affinity):
+    """Guards the worst-served account: it may run nowhere else."""
+    state = make_state()
+    state.accounts["bound"] = Account("bound", home_regions=("north",))
+    placement = make_placement(state)
+    servers = [candidate("n1", free=2), candidate("s1", region="south")]
+    free = placement.choose(servers, demand(affinity), 0.0)
+    assert free.view.server.region == "south"
+    homes = frozenset({"north"})
+    bound = placement.choose(servers, demand(affinity, home_regions=homes), 0)
+    assert bound.view.server.region == "north"
+
+
 def test_without_an_object_the_own_region_goes_first():
     servers = [candidate("s1", region="south"), candidate("n1", free=1)]
-    placement = Placement(make_settings("e1", backends__scope="fleet"))
+    placement = make_placement()
     assert placement.choose(servers, demand(""), 0).view.server == (
         servers[1].view.server
     )
