--- a/medlarhollow/agreement/replica.py
+++ b/medlarhollow/agreement/replica.py
@@ -34,6 +34,7 @@
 from .proposals import agree_on_change
 from .proposals import agree_on_replicas
 from .proposals import expects_request_id
+from .reads import confirm_leadership
 from .replication import take_entries
 from .replication import take_snapshot_part
 
@@ -43,9 +44,6 @@
 EXIT_STORAGE_FAILED = 4
 # Time between attempts to use a disk that takes no writes.
 _REOPEN_S = 0.5
-# Time between looks at the answers of the other replicas; a round trip
-# between regions takes 40 ms.
-_CONFIRM_S = 0.01
 
 
 class Replica:
@@ -247,32 +245,15 @@
         )
 
     async def confirm(self, timeout_s):
-        """Prove that this replica still leads.
+        """Return whether this replica proved within a limit that it leads.
 
         Parameters
         ----------
         timeout_s : float
             Limit in seconds.
-
-        Returns
-        -------
-        bool
-            True once a quorum has answered messages that were sent after the
-            call, so that the state holds every change that was acknowledged
-            before it (the read index of Ongaro 2014, section 6.4). A leader
-            that was frozen cannot tell by its clock alone.
         """
-        asked_at = time.monotonic()
         node = self._node
-        while self.is_leader:
-            now = time.monotonic()
-            if node.proof_age_s(now) < now - asked_at:
-                return True
-            if now - asked_at >= timeout_s:
-                return False
-            node.wake_peers()
-            await asyncio.sleep(_CONFIRM_S)
-        return False
+        return node is not None and await confirm_leadership(node, timeout_s)
 
     async def wait_for_revision(self, revision, timeout_s):
         """Wait until the state has a revision above the given one.
--- a/medlarhollow/membership/announcement.py
+++ b/medlarhollow/membership/announcement.py
@@ -8,7 +8,7 @@
 from ..errors import fail
 from ..messages.records import ErrorKind
 from ..transport import parse_address
-from .directory import is_later
+from .order import is_later
 
 __all__ = ["check_announcement", "check_unsigned", "take_announcement"]
 
--- a/medlarhollow/membership/directory.py
+++ b/medlarhollow/membership/directory.py
@@ -4,9 +4,12 @@
 
 import attrs
 
+from .order import is_first
+from .order import is_newer
+from .order import is_other_process
 from .peers import PeerTable
 
-__all__ = ["Directory", "ServerView", "is_later"]
+__all__ = ["Directory", "ServerView"]
 
 # Follows every sequence number that a process counts up to.
 _LEFT_SEQUENCE = 1 << 62
@@ -106,7 +109,7 @@
             known is None
             or known.expires_at <= now
             or known.owner != self._own_name
-            or _is_other_process(known.server, server)
+            or is_other_process(known.server, server)
             or known.server.leaving != server.leaving
         )
         expires_at = now + self._settings.lease_s
@@ -300,7 +303,7 @@
 
     def _merge_server(self, server, name, now, renewal=False):
         known = self._entries.get(server.server_id)
-        if known is not None and not _is_newer(server, known, now):
+        if known is not None and not is_newer(server, known, now):
             return
         if self._is_displaced(server, now):
             return
@@ -316,13 +319,13 @@
         if (
             known is not None
             and known.expires_at > now
-            and not _is_other_process(known.server, server)
+            and not is_other_process(known.server, server)
         ):
             since = known.since
         self._entries[server.server_id] = _Entry(
             server, owner, expires_at, since, load_at
         )
-        if _is_first(known, server):
+        if is_first(known, server):
             self._take_address(server, now)
 
     def _is_displaced(self, server, now):
@@ -366,45 +369,3 @@
             address = self._entries.pop(server_id).server.address
             if self._holders.get(address) == server_id:
                 del self._holders[address]
-
-
-def _is_newer(server, known, now):
-    """Tell whether a record is newer than what is known."""
-    if server.started_at_ms and known.server.started_at_ms:
-        return is_later(server, known.server)
-    return known.expires_at <= now or (server.sequence > known.server.sequence)
-
-
-def is_later(server, known):
-    """Tell whether an announcement follows another one of the same server.
-
-    Parameters
-    ----------
-    server, known : BackendServer
-        Both tell when their process started.
-    """
-    return (server.started_at_ms, server.sequence) > (
-        known.started_at_ms,
-        known.sequence,
-    )
-
-
-def _is_first(known, server):
-    return known is None or _is_other_process(known.server, server)
-
-
-def _is_other_process(one, other):
-    """Tell whether a server restarted between two records."""
-    return _process_of(one) != _process_of(other) or (
-        one.leaving and not other.leaving
-    )
-
-
-def _process_of(server):
-    return (
-        server.instance,
-        server.started_at_ms,
-        server.address,
-        server.version,
-        server.service,
-    )
--- a/medlarhollow/steering/dispatcher.py
+++ b/medlarhollow/steering/dispatcher.py
@@ -18,8 +18,8 @@
 from .assignment import AttemptResult
 from .placement import is_allowed
 from .placement import Placement
-from .pool import Pool
 from .pool import Waiting
+from .pools import Pools
 from .slots import Slots
 from .spill import Spill
 
@@ -30,10 +30,6 @@
 _TICK_S = 0.1
 # Longest wait for credit when the data centre has no server of a service.
 _CREDIT_WAIT_S = 1.0
-_UNUSED_POOL_S = 60.0
-# Part of the mean latency that a request needs at least; fast ones take about
-# this much.
-_LEAST_LATENCY_PART = 0.5
 
 
 class Dispatcher:
@@ -58,7 +54,7 @@
         self._copy = copy
         self._directory = directory
         self._versions = versions or VersionSelector(settings, copy)
-        self._pools = {}
+        self._pools = Pools(settings, copy, directory, self._versions)
         self._placement = Placement(settings, copy)
         self._slots = Slots(settings, directory, copy)
         self._is_fleet_wide = settings.backends.scope == "fleet"
@@ -74,7 +70,7 @@
                 await asyncio.sleep(_TICK_S)
                 now = time.monotonic()
                 self._pump_all()
-                for pool in list(self._pools.values()):
+                for pool in self._pools.list():
                     self._seek_credit(pool, now)
                 self._forget(now)
         finally:
@@ -100,7 +96,7 @@
             return fail(
                 ErrorKind.NO_BACKEND, f"no service '{demand.route.service}'"
             )
-        pool = self._pool(demand, now)
+        pool = self._pools.find(demand, now)
         assignment = self._send_away(pool, demand, now)
         if assignment is not None:
             return Ok(assignment)
@@ -112,13 +108,11 @@
         limit_at = demand.deadline_at
         if not self._has_server(pool, demand, now):
             if demand.local_only or not self._may_spill():
-                return _no_backend(pool)
+                return pool.no_backend()
             limit_at = min(limit_at, now + _CREDIT_WAIT_S)
-        elif now + pool.expected_wait_s(demand) >= self._last_start(
-            pool, demand
-        ):
-            return _too_late(pool)
-        limit_at = min(limit_at, self._last_start(pool, demand))
+        elif now + pool.expected_wait_s(demand) >= pool.last_start(demand):
+            return pool.too_late()
+        limit_at = min(limit_at, pool.last_start(demand))
         return await self._wait(pool, demand, limit_at, now)
 
     def release(self, assignment, result, latency_s, now):
@@ -143,7 +137,7 @@
                 held_credit.drop(server.service, server.server_id)
             return
         self._slots.give_back(server, assignment.version, result, now)
-        pool = self._pools.get((server.service, assignment.version))
+        pool = self._pools.get(server.service, assignment.version)
         if pool is None:
             return
         pool.in_flight = max(0, pool.in_flight - 1)
@@ -178,10 +172,10 @@
         OwnLoad
             Requests in flight, free slots and requests that wait.
         """
-        queued = sum(len(pool.queue) for pool in self._pools.values())
+        queued = sum(len(pool.queue) for pool in self._pools.list())
         free = 0
         wanted = set()
-        for pool in self._pools.values():
+        for pool in self._pools.list():
             place = (pool.service, pool.version)
             slots, in_flight = self._slots.headroom(*place, now)
             free += max(0, slots - in_flight)
@@ -214,7 +208,7 @@
             )
         place = (service.name, service.version)
         slots, in_flight = self._slots.headroom(*place, now)
-        pool = self._pools.get(place)
+        pool = self._pools.get(*place)
         queued = len(pool.queue) if pool else 0
         return self._spill.grant(
             request,
@@ -225,27 +219,6 @@
             now,
         )
 
-    def _pool(self, demand, now):
-        """Return the pool that serves a request.
-
-        A version without any server gives way to the version in force,
-        never the other way round: that would exceed the part of a move.
-        """
-        service = demand.route.service
-        version = self._versions.choose(service, demand.point, now)
-        in_force = self._copy.state.services[service].version
-        if version != in_force and not self._directory.servers(
-            service, version, now
-        ):
-            version = in_force
-        place = (service, version)
-        if place not in self._pools:
-            limit = self._settings.entry.queue_limit
-            self._pools[place] = Pool(service, version, limit)
-        pool = self._pools[place]
-        pool.used_at = now
-        return pool
-
     def _send_away(self, pool, demand, now):
         """Send the preset's part of new work to other regions, on credit."""
         if demand.local_only or self._is_fleet_wide:
@@ -285,15 +258,6 @@
             return None
         return self._take_credit(pool, demand, now)
 
-    def _last_start(self, pool, demand):
-        """Return until when it is worth to start a request.
-
-        One that cannot be answered in time would take a slot for nothing.
-        """
-        if pool.latency_s is None:
-            return demand.deadline_at
-        return demand.deadline_at - pool.latency_s * _LEAST_LATENCY_PART
-
     def _may_spill(self):
         """Tell whether other data centres may grant credit."""
         return not self._is_fleet_wide and self._spill.has_others()
@@ -314,9 +278,9 @@
             waiting, demand.route.priority, demand.account
         )
         if evicted is not None and not evicted.item.future.done():
-            evicted.item.future.set_result(_overloaded(pool))
+            evicted.item.future.set_result(pool.overloaded())
         if ticket is None:
-            return _overloaded(pool)
+            return pool.overloaded()
         self._seek_credit(pool, now)
         try:
             async with asyncio.timeout(max(0.0, limit_at - now)):
@@ -325,9 +289,9 @@
             if _has_result(future):
                 return future.result()
             if not self._has_server(pool, demand, time.monotonic()):
-                return _no_backend(pool)
+                return pool.no_backend()
             if limit_at < demand.deadline_at:
-                return _too_late(pool)
+                return pool.too_late()
             return fail(
                 ErrorKind.DEADLINE_EXCEEDED,
                 f"no free slot of '{pool.service}' before the deadline",
@@ -348,7 +312,7 @@
 
     def _pump_all(self):
         now = time.monotonic()
-        for pool in list(self._pools.values()):
+        for pool in self._pools.list():
             self._pump(pool, now)
 
     def _pump(self, pool, now):
@@ -397,29 +361,8 @@
     def _forget(self, now):
         self._spill.held_credit.forget(now)
         self._slots.forget()
-        for place, pool in list(self._pools.items()):
-            pool.wants_away *= 0.9
-            if pool.wants_away < 0.001:
-                pool.wants_away = 0.0
-            unused_s = now - pool.used_at
-            if unused_s > _UNUSED_POOL_S and not pool.in_flight:
-                del self._pools[place]
+        self._pools.forget(now)
 
 
 def _has_result(future):
     return future.done() and not future.cancelled()
-
-
-def _no_backend(pool):
-    return fail(ErrorKind.NO_BACKEND, f"no backend server of '{pool.service}'")
-
-
-def _too_late(pool):
-    return fail(
-        ErrorKind.OVERLOADED,
-        f"'{pool.service}' cannot serve this before its deadline",
-    )
-
-
-def _overloaded(pool):
-    return fail(ErrorKind.OVERLOADED, f"the queue of '{pool.service}' is full")
--- a/medlarhollow/steering/pool.py
+++ b/medlarhollow/steering/pool.py
@@ -2,10 +2,15 @@
 
 import attrs
 
+from ..errors import fail
+from ..messages.records import ErrorKind
 from .queue import FairQueue
 
 __all__ = ["Pool", "Waiting"]
 
+# Part of the mean latency that a request needs at least; fast ones take about
+# this much.
+_LEAST_LATENCY_PART = 0.5
 # Weight of a new attempt in the mean latency.
 _LATENCY_PART = 0.05
 
@@ -80,3 +85,41 @@
             return 0.0
         ahead = self.queue.ahead(demand.route.priority, demand.account)
         return ahead * self._latency_s / self.in_flight
+
+    def last_start(self, demand):
+        """Return until when it is worth to start a request.
+
+        One that cannot be answered in time would take a slot for nothing.
+
+        Parameters
+        ----------
+        demand : Demand
+            Gives its deadline.
+
+        Returns
+        -------
+        float
+            Monotonic time in seconds.
+        """
+        if self._latency_s is None:
+            return demand.deadline_at
+        return demand.deadline_at - self._latency_s * _LEAST_LATENCY_PART
+
+    def no_backend(self):
+        """Return the failure of a request that has no server."""
+        return fail(
+            ErrorKind.NO_BACKEND, f"no backend server of '{self.service}'"
+        )
+
+    def too_late(self):
+        """Return the failure of a request that waited for its servers."""
+        return fail(
+            ErrorKind.OVERLOADED,
+            f"'{self.service}' cannot serve this before its deadline",
+        )
+
+    def overloaded(self):
+        """Return the failure of a request that finds the queue full."""
+        return fail(
+            ErrorKind.OVERLOADED, f"the queue of '{self.service}' is full"
+        )
