--- a/medlarhollow/admin/tests/fakes.py
+++ b/medlarhollow/admin/tests/fakes.py
@@ -43,6 +43,9 @@
     def freshness_age_s(self, now):
         return 0.25
 
+    async def confirm(self, timeout_s):
+        return True
+
     async def propose(self, change):
         if self.failure is not None:
             return self.failure
--- a/medlarhollow/cli/tests/test_commands.py
+++ b/medlarhollow/cli/tests/test_commands.py
@@ -83,7 +83,13 @@
     """Guards against a table without the values."""
     replica.state.accounts["crew"] = Account("crew", 10.0, 20.0)
     ran = await tool("account", "list")
-    assert ran.text.splitlines()[1].split() == ["crew", "10", "20"]
+    assert ran.text.splitlines()[1].split() == [
+        "crew",
+        "10",
+        "20",
+        "ordinary",
+        "-",
+    ]
 
 
 async def test_key_is_made_here_and_only_its_hash_is_sent(tool, replica):
