Remember the servers of an object; look at fewer waiting requests

Under overload each slot that is given back made up to 128 waiting requests score all servers, once more after each wait.

Change: the places of an object's own servers are remembered for a list of servers, 8 requests of each account are looked at, and a wait that was served does not look again.

--- a/medlarhollow/steering/affinity.py
+++ b/medlarhollow/steering/affinity.py
@@ -24,6 +24,8 @@
 # Objects and servers whose hashes are kept; a fleet has a few thousand
 # servers, and requests concentrate on some thousand objects.
 _KEPT_HASHES = 16384
+# Objects in a pool whose own servers are kept.
+_KEPT_PLACES = 4096
 
 
 def rank_by_affinity(candidates, key, weigh):
@@ -46,7 +48,11 @@
     key_hash = _hash(key)
     return sorted(
         candidates,
-        key=lambda candidate: _score(key_hash, candidate.view.server, weigh),
+        key=lambda candidate: _score(
+            key_hash,
+            candidate.view.server.server_id,
+            weigh(candidate.view.server),
+        ),
         reverse=True,
     )
 
@@ -75,20 +81,34 @@
     bounded loads (Mirrokni, Thorup and Zadimoghaddam 2018) an overload would
     spread every object over all servers, none of which would keep it.
     """
+    servers = tuple(
+        (candidate.view.server.server_id, weigh(candidate.view.server))
+        for candidate in candidates
+    )
+    own = (candidates[place] for place in _find_own(key, servers))
+    return next((candidate for candidate in own if candidate.free > 0), None)
+
+
+@functools.lru_cache(maxsize=_KEPT_PLACES)
+def _find_own(key, servers):
+    """Return the places of an object's own servers in a list.
+
+    A busy VM asks for the same objects and servers again and again: scoring
+    each time took most of its processor time under overload.
+    """
     key_hash = _hash(key)
-    own = heapq.nlargest(
+    return heapq.nlargest(
         _SERVERS_PER_OBJECT,
-        candidates,
-        key=lambda candidate: _score(key_hash, candidate.view.server, weigh),
+        range(len(servers)),
+        key=lambda place: _score(key_hash, *servers[place]),
     )
-    return next((candidate for candidate in own if candidate.free > 0), None)
 
 
-def _score(key_hash, server, weigh):
-    mixed = _mix(key_hash ^ _hash(server.server_id))
+def _score(key_hash, server_id, weight):
+    mixed = _mix(key_hash ^ _hash(server_id))
     # In (0, 1), so that the logarithm is defined and below 0.
     point = ((mixed >> (_BITS - _POINT_BITS)) + 0.5) / (1 << _POINT_BITS)
-    return -weigh(server) / math.log(point)
+    return -weight / math.log(point)
 
 
 @functools.lru_cache(maxsize=_KEPT_HASHES)
--- a/medlarhollow/steering/dispatcher.py
+++ b/medlarhollow/steering/dispatcher.py
@@ -308,7 +308,9 @@
             raise
         finally:
             pool.queue.discard(ticket)
-            self._pump(pool, time.monotonic())
+            if not _has_result(future):
+                # Others may have waited behind this one.
+                self._pump(pool, time.monotonic())
 
     def _pump_all(self):
         now = time.monotonic()
--- a/medlarhollow/steering/placement.py
+++ b/medlarhollow/steering/placement.py
@@ -57,29 +57,24 @@
             an object, one of this region before others. None if none of
             those allowed is free.
         """
-        allowed = [
-            self._keep_reserve(candidate, demand)
-            for candidate in candidates
-            if is_allowed(candidate.view.server, demand)
-        ]
+        allowed = candidates
+        if demand.excluded or demand.home_regions:
+            allowed = [
+                candidate
+                for candidate in candidates
+                if is_allowed(candidate.view.server, demand)
+            ]
+        homes = self._list_homes()
+        if homes and not demand.home_regions:
+            allowed = [
+                _keep_reserve(candidate, homes) for candidate in allowed
+            ]
         if demand.affinity:
             return choose_by_affinity(allowed, demand.affinity, self._weigh)
         if self._is_fleet_wide:
             allowed = self._prefer_near(allowed)
         return choose_server(allowed, frozenset(), self._generator, now)
 
-    def _keep_reserve(self, candidate, demand):
-        """Return a candidate less what is kept for those bound to its region.
-
-        Requests with home regions have no other servers, so the rest, which
-        has, must not fill these.
-        """
-        server = candidate.view.server
-        if demand.home_regions or server.region not in self._list_homes():
-            return candidate
-        reserve = math.ceil(server.slots * _RESERVE_PART)
-        return attrs.evolve(candidate, free=candidate.free - reserve)
-
     def _list_homes(self):
         """Return the regions that some accounts or routes are bound to."""
         state = self._copy.state
@@ -107,6 +102,19 @@
         return server.slots * max(self._remote_weight, _LEAST_WEIGHT)
 
 
+def _keep_reserve(candidate, home_regions):
+    """Return a candidate less what is kept for those bound to its region.
+
+    Requests with home regions have no other servers, so the rest, which has,
+    must not fill these.
+    """
+    server = candidate.view.server
+    if candidate.free <= 0 or server.region not in home_regions:
+        return candidate
+    reserve = math.ceil(server.slots * _RESERVE_PART)
+    return attrs.evolve(candidate, free=candidate.free - reserve)
+
+
 def is_allowed(server, demand):
     """Tell whether a server may get a request.
 
--- a/medlarhollow/steering/queue.py
+++ b/medlarhollow/steering/queue.py
@@ -14,7 +14,7 @@
 # any waits: patient work is late but does not starve.
 _TURN = 10
 # Requests of one account that are looked at for one that can go.
-_LOOK_AHEAD = 16
+_LOOK_AHEAD = 8
 
 
 @attrs.define(eq=False)
