--- /dev/null
+++ b/medlarhollow/steering/tests/conftest.py
@@ -0,0 +1,140 @@
+"""Entry VMs with their dispatchers, and servers for credit."""
+
+import asyncio
+import time
+
+import pytest
+
+from medlarhollow.limits.tests.support import make_settings
+from medlarhollow.limits.tests.support import make_state
+from medlarhollow.limits.tests.support import StandInCopy
+from medlarhollow.localfleet.ports import free_addresses
+from medlarhollow.membership import Directory
+from medlarhollow.messages.records import BackendServer
+from medlarhollow.messages.records import Priority
+from medlarhollow.messages.records import Route
+from medlarhollow.messages.records import Service
+from medlarhollow.messages.services import FleetBase
+from medlarhollow.steering import AttemptResult
+from medlarhollow.steering import Demand
+from medlarhollow.steering import Dispatcher
+from medlarhollow.transport import Channels
+from medlarhollow.transport import PeerServer
+
+
+class CreditService(FleetBase):
+    def __init__(self, dispatcher):
+        self.dispatcher = dispatcher
+        self.asked = 0
+        self.silent = False
+
+    async def AcquireCredit(self, stream):
+        request = await stream.recv_message()
+        self.asked += 1
+        if self.silent:
+            await asyncio.sleep(60)
+        await stream.send_message(
+            self.dispatcher.grant_credit(request, time.monotonic())
+        )
+
+    async def Sync(self, stream):
+        raise NotImplementedError
+
+    async def Exchange(self, stream):
+        raise NotImplementedError
+
+    async def AcquireTokens(self, stream):
+        raise NotImplementedError
+
+
+class Site:
+    """An entry VM with its dispatcher, and a server for credit."""
+
+    def __init__(self, folder, name, region, data_centre, address, state):
+        self.settings = make_settings(
+            name,
+            folder,
+            region,
+            data_centre,
+            peer__listen=address,
+            entry__queue_limit="50",
+        )
+        self.directory = Directory(self.settings)
+        self.channels = Channels(self.settings)
+        copy = StandInCopy(state, proof_at=time.monotonic())
+        self.dispatcher = Dispatcher(
+            self.settings, copy, self.directory, self.channels
+        )
+        self.service = CreditService(self.dispatcher)
+        self.server = PeerServer(self.settings, [self.service])
+        self.held = []
+
+    async def start(self):
+        await self.server.start()
+        self.running = asyncio.create_task(self.dispatcher.run())
+
+    async def stop(self):
+        self.running.cancel()
+        await asyncio.gather(self.running, return_exceptions=True)
+        self.channels.close()
+        await self.server.stop()
+
+    def announce(self, *names, slots=2, version="1", **more):
+        for name in names:
+            server = BackendServer(
+                server_id=name,
+                service="plots",
+                version=version,
+                address="127.0.0.1:9",
+                slots=slots,
+                **more,
+            )
+            self.directory.announce(server, time.monotonic())
+
+    async def acquire(self, wait_s=0.3, **more):
+        result = await self.dispatcher.acquire(make_demand(wait_s, **more))
+        if result.is_ok():
+            self.held.append(result.ok_value)
+        return result
+
+    def release(self, assignment, result=AttemptResult.OK, latency_s=0.05):
+        self.held.remove(assignment)
+        self.dispatcher.release(
+            assignment, result, latency_s, time.monotonic()
+        )
+
+
+def make_demand(wait_s=0.3, priority=Priority.ORDINARY, **more):
+    values = {
+        "route": Route(service="plots", priority=priority),
+        "account": "crew",
+        "deadline_at": time.monotonic() + wait_s,
+        "point": 0.9,
+        **more,
+    }
+    return Demand(**values)
+
+
+@pytest.fixture
+async def sites(tmp_path):
+    near, far = free_addresses(2)
+    state = make_state(
+        vms=[
+            ("near", "north", "north-a", near),
+            ("far", "south", "south-a", far),
+        ]
+    )
+    state.services["plots"] = Service(name="plots", version="1")
+    made = [
+        Site(tmp_path, "near", "north", "north-a", near, state),
+        Site(tmp_path, "far", "south", "south-a", far, state),
+    ]
+    for site in made:
+        await site.start()
+    yield made
+    for site in made:
+        await site.stop()
+
+
+def state_of(site):
+    return site.dispatcher._copy.state
