Log what the selection of a server relied on

The hypotheses on floods of cold servers differ in what an entry VM knew as it chose the server: whether it took it for cold, how old its announcement was, and how long after the choice the request was sent. Attempts in the request log now say so. The sender VMs follow from the roster at the revision that is logged already.

--- a/medlarhollow/entry/attempts.py
+++ b/medlarhollow/entry/attempts.py
@@ -218,7 +218,7 @@
         )
     if isinstance(response, NotSent | Unanswered):
         slot.record_outcome(response)
-        progress.trace.add_attempt(slot.server_id, response, slot.latency_s)
+        progress.trace.add_attempt(slot, response)
         progress.sent = sent_before or may_have_run(response)
         return response
     outcome = _classify_response(
@@ -226,7 +226,7 @@
     )
     _report_load(vm, response, slot)
     slot.record_outcome(outcome)
-    progress.trace.add_attempt(slot.server_id, outcome, slot.latency_s)
+    progress.trace.add_attempt(slot, outcome)
     progress.sent = sent_before or may_have_run(outcome)
     try:
         if isinstance(outcome, Unanswered):
--- a/medlarhollow/entry/request_log.py
+++ b/medlarhollow/entry/request_log.py
@@ -33,23 +33,22 @@
     attempts: list = attrs.field(factory=list)
     detail: str = ""
 
-    def add_attempt(self, server_id, outcome, latency_s):
+    def add_attempt(self, slot, outcome):
         """Add an attempt.
 
         Parameters
         ----------
-        server_id : str
-            Identifier of the backend server.
+        slot : Slot
+            Slot of the backend server, with the time to the response head or
+            to the end of the attempt.
         outcome : object
             `Answered`, `Refused`, `NotSent` or `Unanswered`.
-        latency_s : float
-            Time to the response head or to the end of the attempt, in
-            seconds.
         """
         name = type(outcome).__name__.lower()
         text = getattr(outcome, "detail", "") or getattr(outcome, "status", "")
         self.attempts.append(
-            f"{server_id} {name} {text} {_milliseconds(latency_s)} ms"
+            f"{slot.server_id} {name} {text} "
+            f"{_milliseconds(slot.latency_s)} ms, {slot.describe_selection()}"
         )
 
 
--- a/medlarhollow/entry/slot.py
+++ b/medlarhollow/entry/slot.py
@@ -37,7 +37,7 @@
         self._vm = vm
         self._route = route
         self._assignment = assignment
-        self._started_at = time.monotonic()
+        self._selected_at = self._started_at = time.monotonic()
         self._result = AttemptResult.CANCELLED
         self._latency_s = None
 
@@ -66,6 +66,18 @@
         """Float or None : seconds until the response head or the end."""
         return self._latency_s
 
+    def describe_selection(self):
+        """Return what the selection of the server relied on, for the log."""
+        if self.remote:
+            return "on credit"
+        state = "cold" if self._assignment.is_cold else "warm"
+        age_s = self._assignment.record_age_s
+        delay_ms = (self._started_at - self._selected_at) * 1000
+        return (
+            f"{state}, announced {age_s:.2f} s before, "
+            f"sent after {delay_ms:.1f} ms"
+        )
+
     def start_timer(self):
         """Start the latency timer; a reserved slot may have been idle."""
         self._started_at = time.monotonic()
--- a/medlarhollow/steering/assignment.py
+++ b/medlarhollow/steering/assignment.py
@@ -75,6 +75,10 @@
         Identifier of the credit spent on a remote attempt.
     wait_s : float
         Seconds that the request waited for the slot.
+    is_cold : bool
+        Whether the server was taken for cold.
+    record_age_s : float
+        Seconds since the announcement on which the selection relies.
     """
 
     server: BackendServer
@@ -82,3 +86,5 @@
     remote: bool = False
     credit_id: str = ""
     wait_s: float = 0.0
+    is_cold: bool = False
+    record_age_s: float = 0.0
--- a/medlarhollow/steering/dispatcher.py
+++ b/medlarhollow/steering/dispatcher.py
@@ -254,10 +254,16 @@
         """Return a local slot, a slot on credit, or None."""
         chosen = self._placement.choose(candidates, request, now)
         if chosen is not None:
-            server = chosen.view.server
-            self._slots.acquire(chosen.view, now)
+            view = chosen.view
+            self._slots.acquire(view, now)
             pool.in_flight += 1
-            return Assignment(server, pool.version, wait_s=wait_s)
+            return Assignment(
+                view.server,
+                pool.version,
+                wait_s=wait_s,
+                is_cold=chosen.is_cold,
+                record_age_s=now - view.load_at,
+            )
         if request.local_only or self._is_fleet_wide:
             return None
         return self._spend_credit(pool, request, now)
