Send a request once per attempt

Callers saw nothing; servers saw requests that no limit counted: aiohttp sends a GET or PUT again by itself when the connection is reset or closed before a response, on new connections as well as on idle ones. A cold server whose connections break gets twice the rate of its senders, 18 requests in a second for the 9 that three senders count.

A middleware now turns the lost connection into an error for which aiohttp does not retry; the attempt ends as unanswered and may be retried within the budget, on a slot of another server. For 5 s the server gets new connections only, so that its other lost idle connections do not fail one by one.

The new tests failed before: 3 and 9 requests instead of 2 and 5, and 502 once more after the first lost connection. A service with a single server now answers 502 where the second sending used to hide a lost idle connection.

--- a/medlarhollow/entry/backend_client.py
+++ b/medlarhollow/entry/backend_client.py
@@ -25,10 +25,19 @@
 )
 
 
+# Time for which requests to a server use new connections, after it closed one
+# without a response: its other idle connections are probably lost as well.
+_NEW_CONNECTIONS_S = 5.0
+
+
 class TruncatedResponseError(Exception):
     """The response of a backend server ended before it was complete."""
 
 
+class _ConnectionLostError(Exception):
+    """The connection ended before the head of a response."""
+
+
 class BackendClient:
     """Send requests to backend servers and stream the responses.
 
@@ -39,9 +48,11 @@
 
     Notes
     -----
-    aiohttp retries a request by itself when a keep-alive connection turns
-    out to be closed. Requests that must not be repeated, and those whose
-    body cannot be read again, therefore use a new connection each.
+    aiohttp sends a request with an idempotent method again by itself when
+    its connection is lost. Neither the retry budget nor the limits of a
+    server would count that, so a middleware prevents it. Requests that must
+    not be repeated use a new connection each, since a keep-alive connection
+    may turn out to be closed.
 
     All established connections to a server can stop delivering data while
     new ones work. After a time-out on one connection,
@@ -53,6 +64,8 @@
         self._settings = settings
         self._pools = {}
         self._single_use = None
+        # Monotonic time until which a server gets new connections only.
+        self._new_connections_until = {}
 
     async def __aenter__(self):
         """Open the client."""
@@ -89,7 +102,7 @@
             A response must be closed by the caller of this method.
         """
         pool = self._single_use
-        if repeatable:
+        if repeatable and self._may_reuse(address, time.monotonic()):
             pool = self._pools.get(address)
             if pool is None:
                 session = self._open_session(force_close=False)
@@ -107,6 +120,11 @@
             )
         except _CONNECT_ERRORS as error:
             return NotSent(f"cannot connect to {address}: {error}")
+        except _ConnectionLostError as error:
+            self._new_connections_until[address] = (
+                time.monotonic() + _NEW_CONNECTIONS_S
+            )
+            return Unanswered(f"no response from {address}: {error}")
         except (aiohttp.ClientError, OSError, ValueError) as error:
             return Unanswered(f"no response from {address}: {error}")
         finally:
@@ -163,6 +181,12 @@
         if pool is not None:
             await pool.retire()
 
+    def _may_reuse(self, address, now):
+        until = self._new_connections_until.get(address)
+        if until is not None and now >= until:
+            del self._new_connections_until[address]
+        return address not in self._new_connections_until
+
     def _open_session(self, force_close):
         timeout = aiohttp.ClientTimeout(
             total=None,
@@ -174,11 +198,22 @@
             auto_decompress=False,
             # Cookies belong to callers and must not be shared between them.
             cookie_jar=aiohttp.DummyCookieJar(),
+            middlewares=(_send_once,),
             max_line_size=_HEAD_LIMIT_BYTES,
             max_field_size=_HEAD_LIMIT_BYTES,
         )
 
 
+async def _send_once(request, handler):
+    """Pass on a request, with an error for which aiohttp does not retry."""
+    try:
+        return await handler(request)
+    except _CONNECT_ERRORS:
+        raise
+    except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as error:
+        raise _ConnectionLostError(str(error)) from error
+
+
 class _Pool:
     """A session that is closed once it is retired and unused."""
 
--- a/medlarhollow/entry/tests/test_faults.py
+++ b/medlarhollow/entry/tests/test_faults.py
@@ -204,6 +204,47 @@
             assert len(backend.requests) == number
 
 
+@pytest.mark.parametrize("requests", [1, 4])
+async def test_lost_connection_causes_no_request_beyond_the_retry_budget(
+    requests,
+):
+    """Guards servers against requests that no limit counts."""
+
+    async def behaviour(request, reader, writer):
+        return b"/lost" not in request.head and await respond()(
+            request, reader, writer
+        )
+
+    backend = FakeBackend(behaviour)
+    entry = EntryHarness()
+    async with entry.run(backend):
+        assert (await entry.call())[0] == 200
+        while entry.vm.retry_budget.try_consume("plots"):
+            pass
+        for _ in range(requests):
+            assert (await entry.call("/plots/lost"))[0] == 502
+    assert len(backend.requests) == 1 + requests
+
+
+async def test_requests_after_a_lost_connection_use_new_ones():
+    """Guards requests against the other idle connections to a server that
+    dropped them."""
+    lost = set()
+
+    async def behaviour(request, reader, writer):
+        if request.connection in lost:
+            return False
+        return await respond(delay_s=0.05)(request, reader, writer)
+
+    backend = FakeBackend(behaviour)
+    entry = EntryHarness()
+    async with entry.run(backend):
+        await asyncio.gather(*(entry.call() for _ in range(4)))
+        lost |= {1, 2, 3, 4}
+        assert (await entry.call())[0] == 502
+        assert [(await entry.call())[0] for _ in range(4)] == [200] * 4
+
+
 async def test_connections_are_reused():
     """Guards against a new connection for each idempotent request."""
     backend = FakeBackend(respond())
