Tell VMs that start or thaw of evacuations that have ended

Servers may turn cold while evacuated, and keep their identifiers. A VM took them for cold only if it saw the evacuation end: one that started, thawed or got its state later took the last announcement from before the end for the truth and sent at full rate until the next one, up to 2.7 s.

A VM that learns of an end takes the servers for cold until they announce themselves, for a lease at most, as before.

Seen failing first: with 1 and with 12 of 20 VMs started after the end, 26 and 242 requests in a second reach a server that bears 14, and 20 from one VM that missed the whole evacuation.

--- a/medlarhollow/configuration/state.py
+++ b/medlarhollow/configuration/state.py
@@ -52,6 +52,9 @@
         Limits on the requests of callers.
     evacuations : dict of str to Evacuation
         Data centres whose backend servers receive no new requests.
+    ended_evacuations : dict of str to Evacuation
+        Last evacuation of each data centre where it ended a short time ago.
+        A VM that did not see it end must know that the servers may be cold.
     roster_changes : int
         Number of changes to `vms` applied to this object, used to invalidate
         data derived from the roster.
@@ -80,6 +83,7 @@
     document: bytes = attrs.field(default=b"", repr=False)
     limits: object = None
     evacuations: dict = attrs.field(factory=dict)
+    ended_evacuations: dict = attrs.field(factory=dict)
     roster_changes: int = attrs.field(default=0, eq=False)
 
     def count_records(self):
@@ -160,4 +164,5 @@
     "allocators": lambda record: record.data_centre,
     "accepted": lambda record: record.version,
     "evacuations": lambda record: record.data_centre,
+    "ended_evacuations": lambda record: record.data_centre,
 }
--- a/medlarhollow/messages/records.py
+++ b/medlarhollow/messages/records.py
@@ -279,6 +279,7 @@
 
     data_centre: str = ""
     started_at_s: float = 0.0
+    ended_at_s: float = 0.0
 
 
 @attrs.frozen
@@ -689,6 +690,7 @@
     accepted: "tuple[AcceptedConfiguration, ...]" = ()
     limits: "CallerLimits | None" = None
     evacuations: "tuple[Evacuation, ...]" = ()
+    ended_evacuations: "tuple[Evacuation, ...]" = ()
     requests: "tuple[RequestRecord, ...]" = ()
     claims: "tuple[ClaimRecord, ...]" = ()
     document: bytes = b""
--- a/medlarhollow/steering/cold_servers.py
+++ b/medlarhollow/steering/cold_servers.py
@@ -34,6 +34,9 @@
         self._ranked_vms = {}
         self._ranked_roster = None
         self._evacuated = frozenset()
+        self._ended_evacuations = frozenset()
+        # Monotonic time in seconds at which this VM learned of the end, by
+        # data centre.
         self._evacuation_ended_at = {}
 
     def track_evacuations(self, now):
@@ -44,10 +47,19 @@
         now : float
             Monotonic time in seconds.
         """
-        evacuated = frozenset(self._state_cache.state.evacuations)
-        for data_centre in self._evacuated - evacuated:
+        state = self._state_cache.state
+        evacuated = frozenset(state.evacuations)
+        ended = frozenset(state.ended_evacuations.values())
+        # A VM that started or was partitioned meanwhile missed the start.
+        missed = {
+            evacuation.data_centre
+            for evacuation in ended - self._ended_evacuations
+            if state.time_s - evacuation.ended_at_s <= self._lease_s
+        }
+        for data_centre in self._evacuated - evacuated | missed:
             self._evacuation_ended_at[data_centre] = now
         self._evacuated = evacuated
+        self._ended_evacuations = ended
 
     def is_cold(self, view, now):
         """Return whether a server is cold.
--- a/medlarhollow/steering/slot_tracker.py
+++ b/medlarhollow/steering/slot_tracker.py
@@ -264,8 +264,12 @@
         )
 
     def _snapshot_key(self):
-        evacuated = self._state_cache.state.evacuations
-        return (self._directory.generation, frozenset(evacuated))
+        state = self._state_cache.state
+        return (
+            self._directory.generation,
+            frozenset(state.evacuations),
+            frozenset(state.ended_evacuations.values()),
+        )
 
     def _build(self, pool_id, previous, now):
         key = self._snapshot_key()
