Do not renew the lease of a server whose announcements are overdue

A registry renewed the leases of its servers at the entry VMs with each update, until its own lease for the server ended 6 s after the last announcement, so that the entry VMs gave it up after 7 s and took it for warm until then. A server that is partitioned from the registries and restarts under its identifier behind the partition was sent its full load while cold.

An update now names the servers whose announcements are overdue for half a lease; their leases at the entry VMs become overdue too, and the limit for cold servers applies to them as to servers of which a VM hears nothing.

Seen failing first: 400 requests in a second, 4 s after the last announcement, to a server that bears 14.

--- a/medlarhollow/membership/__init__.py
+++ b/medlarhollow/membership/__init__.py
@@ -6,6 +6,7 @@
 from .directory import Directory
 from .exchange import Exchange
 from .exchange import LocalLoad
+from .lease import is_overdue
 from .lookup import list_entry_vms
 from .lookup import list_nearest_entry_vms
 from .lookup import LookupOrder
@@ -14,6 +15,7 @@
     "Directory",
     "Exchange",
     "LocalLoad",
+    "is_overdue",
     "check_announcement",
     "check_open_announcement",
     "LookupOrder",
--- a/medlarhollow/membership/directory.py
+++ b/medlarhollow/membership/directory.py
@@ -7,6 +7,7 @@
 
 from .addresses import AddressIndex
 from .changes import ServerChangeLog
+from .lease import is_overdue
 from .lease import Lease
 from .lease import pool_key
 from .lease import ServerView
@@ -184,20 +185,7 @@
         return [lease.server for lease in self.leases(service, version, now)]
 
     def views(self, service, version, now):
-        """Return views of the servers that may receive new requests.
-
-        Parameters
-        ----------
-        service, version : str
-            Service and version that they must serve.
-        now : float
-            Monotonic time in seconds.
-
-        Returns
-        -------
-        list of ServerView
-            Servers with a current lease that are not leaving.
-        """
+        """Return a `ServerView` of each of the :meth:`leases`."""
         return [
             self.view(lease, now)
             for lease in self.leases(service, version, now)
@@ -306,13 +294,17 @@
                 # announcement of a process that left does not restore it.
                 lease.expires_at = min(lease.expires_at, now)
                 self._generation += 1
-        self._renew_leases(records, name, now)
+        self._renew_leases(records, name, now, frozenset(update.overdue))
         for server in update.servers:
             if server.address:
                 records[server.server_id] = server
                 self._merge_record(server, name, now)
         self._changes.flush(name)
 
+    def is_overdue(self, lease, now):
+        """Return whether the announcements of a server are overdue."""
+        return is_overdue(lease, self._settings.lease_s, now)
+
     def is_owned_elsewhere(self, server_id):
         """Return whether another VM owns the lease of a server."""
         lease = self._leases.get(server_id)
@@ -324,16 +316,23 @@
             if lease.owner == name and not lease.server.started_at_ms:
                 lease.server = attrs.evolve(lease.server, sequence=0)
 
-    def _renew_leases(self, records, name, now):
+    def _renew_leases(self, records, name, now, overdue):
         """Renew the leases of the servers that another VM reports.
 
+        The leases of overdue servers become overdue here as well.
+
         If a server's lease expired under the VM that received its latest
         announcement, the VM that still reports the server becomes its owner.
         """
-        expires_at = now + self._settings.lease_s
         for server in records.values():
             lease = self._leases.get(server.server_id)
-            if lease is not None and lease.expires_at > now:
+            is_current = lease is not None and lease.expires_at > now
+            expires_at = now + self._settings.lease_s
+            if server.server_id in overdue:
+                expires_at = now + self._settings.lease_s / 2
+                if is_current:
+                    expires_at = min(expires_at, lease.expires_at)
+            if is_current:
                 if lease.owner == name:
                     lease.expires_at = expires_at
                 continue
--- a/medlarhollow/membership/lease.py
+++ b/medlarhollow/membership/lease.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-__all__ = ["Lease", "ServerView", "pool_key"]
+__all__ = ["Lease", "ServerView", "is_overdue", "pool_key"]
 
 
 @attrs.frozen
@@ -84,6 +84,22 @@
             self.stable_record = stable_record
 
 
+def is_overdue(lease, lease_s, now):
+    """Return whether the renewals of a lease are overdue.
+
+    Parameters
+    ----------
+    lease : Lease or ServerView
+        The lease, or a view with its end.
+    lease_s : float
+        Full length of the lease in seconds, within which several
+        renewals are due.
+    now : float
+        Monotonic time in seconds.
+    """
+    return now >= lease.expires_at - lease_s / 2
+
+
 def pool_key(server):
     """Return the fields that decide a server's pool and its share of it."""
     return (
--- a/medlarhollow/membership/updates.py
+++ b/medlarhollow/membership/updates.py
@@ -53,7 +53,7 @@
             All servers in the first message; afterwards the servers that
             are new or changed and the counts that changed. The record
             of this VM is included only if it changed. An update without
-            changes renews all leases.
+            changes renews all leases but the overdue ones.
         """
         self._sequence += 1
         counts = load.in_flight
@@ -106,6 +106,11 @@
             ),
             removed=removed,
             released=released,
+            overdue=tuple(
+                lease.server.server_id
+                for lease in owned
+                if directory.is_overdue(lease, now)
+            ),
         )
 
     def _needs_resend(self, lease):
--- a/medlarhollow/messages/records.py
+++ b/medlarhollow/messages/records.py
@@ -968,6 +968,7 @@
     servers: "tuple[BackendServer, ...]" = ()
     removed: "tuple[str, ...]" = ()
     released: "tuple[str, ...]" = ()
+    overdue: "tuple[str, ...]" = ()
 
 
 @attrs.frozen
--- a/medlarhollow/steering/cold_servers.py
+++ b/medlarhollow/steering/cold_servers.py
@@ -6,6 +6,7 @@
 earlier selection, so the fractions leave room for two selections.
 """
 
+from ..membership import is_overdue
 from .cold_senders import select_cold_senders
 
 __all__ = ["ColdServerPacer"]
@@ -93,7 +94,7 @@
             return True
         if not self._rate_per_s(server):
             return False
-        if now >= view.expires_at - self._lease_s / 2:
+        if is_overdue(view, self._lease_s, now):
             return True
         ended_at = self._evacuation_ended_at.get(server.data_centre)
         return (
