Report a server that restarts under its identifier with its first announcement

A stream of the registry skipped a server whose sequence number was the one that it had sent last. Unchanged announcements are not sent, so that number is the one of the first record, 1, for up to 16 announcements: 24 s on the platform. A server that restarts counts from 1 again. Its first announcement was therefore skipped, although it named another process and a cold server, and entry VMs sent their full load until the second announcement, 1.5 to 2.7 s later.

The stream now compares the record without its counters first, which includes process and coldness, and the sequence number only for the resend of unchanged records.

Seen failing first, after 1 and after 5 announcements: the other VM still has the record of the old process.

--- a/medlarhollow/membership/tests/test_directory.py
+++ b/medlarhollow/membership/tests/test_directory.py
@@ -84,6 +84,23 @@
     assert b.usable(9.0 + LEASE_S - 0.2) == names
 
 
+@pytest.mark.parametrize("announcements", [1, 5])
+def test_restart_under_the_same_identifier_is_reported(pair, announcements):
+    """Guards restarted servers, which are cold, whose sequence numbers start
+    again at the one that was sent last."""
+    a, b = pair
+    server = make_server(started_at_ms=1000)
+    for sequence in range(1, announcements + 1):
+        a.directory.announce(attrs.evolve(server, sequence=sequence), 0.0)
+        a.send_update(b, 0.1)
+    restarted = attrs.evolve(
+        server, sequence=1, started_at_ms=2000, cold_left_s=3.0
+    )
+    a.directory.announce(restarted, 1.0)
+    a.send_update(b, 1.1)
+    assert b.directory.find("s1").cold_left_s == 3.0
+
+
 @pytest.mark.parametrize("streams", [1, 90])
 def test_cost_of_a_renewal_does_not_grow_with_streams(streams, monkeypatch):
     """Guards the processor time of a registry in a large fleet: records
--- a/medlarhollow/membership/updates.py
+++ b/medlarhollow/membership/updates.py
@@ -119,12 +119,13 @@
         sent = self._sent.get(server.server_id)
         if sent is None or sent.resend_number != lease.resend_number:
             return True
-        if sent.sequence == server.sequence:
-            return False
+        # A server that restarts may announce itself with the same sequence
+        # number again, so this goes before the comparison of these.
+        if (
+            sent.stable_record is not lease.stable_record
+            and sent.stable_record != lease.stable_record
+        ):
+            return True
         if server.sequence - sent.sequence >= _REFRESH_ANNOUNCEMENTS:
             return True
-        is_unchanged = (
-            sent.stable_record is lease.stable_record
-            or sent.stable_record == lease.stable_record
-        )
-        return not is_unchanged or abs(sent.load - server.load) >= _LOAD_STEP
+        return abs(sent.load - server.load) >= _LOAD_STEP
