Limit requests to a server that refused a connection

A VM whose connection is refused meanwhile has evidence of the restart but sent its full load as soon as connections were accepted again.

After a failed connection the server is now taken for cold by this VM until a record of a later announcement arrives, for half a lease at most. VMs that had no request for it in between still know nothing.

--- a/medlarhollow/steering/cold_servers.py
+++ b/medlarhollow/steering/cold_servers.py
@@ -35,6 +35,8 @@
         # Senders by server and region, valid for one revision of the roster.
         self._selected = {}
         self._selection_roster = None
+        # Monotonic time in seconds of the last failed connection, by server.
+        self._unreachable_at = {}
         self._evacuated = frozenset()
         self._ended_evacuations = frozenset()
         # Monotonic time in seconds at which this VM learned of the end, by
@@ -86,6 +88,9 @@
         only in the first half of its lease, within which at least two
         renewals are due.
 
+        A server that refused a connection may be restarting. It is taken for
+        cold until it has announced itself, for half a lease at most.
+
         During an evacuation, an idle server may turn cold. It is taken for
         cold afterwards until it has announced itself, for a lease at most.
         """
@@ -96,6 +101,12 @@
             return False
         if is_overdue(view, self._lease_s, now):
             return True
+        unreachable_at = self._unreachable_at.get(server.server_id)
+        if unreachable_at is not None and (
+            view.load_at < unreachable_at
+            and now < unreachable_at + self._lease_s / 2
+        ):
+            return True
         ended_at = self._evacuation_ended_at.get(server.data_centre)
         return (
             ended_at is not None
@@ -127,8 +138,17 @@
             count = max(1, int(rate / len(self._senders(server))))
             self._next_at[server.server_id] = now + _WINDOW_S / count
 
+    def record_unreachable(self, server_id, now):
+        """Record that no connection to a server could be established."""
+        self._unreachable_at[server_id] = now
+
     def retain(self, server_ids):
         """Discard the records of all servers but the given ones."""
+        self._unreachable_at = {
+            server_id: unreachable_at
+            for server_id, unreachable_at in self._unreachable_at.items()
+            if server_id in server_ids
+        }
         self._next_at = {
             server_id: next_at
             for server_id, next_at in self._next_at.items()
--- a/medlarhollow/steering/slot_tracker.py
+++ b/medlarhollow/steering/slot_tracker.py
@@ -150,6 +150,8 @@
         self._in_flight[server_id] -= 1
         if self._in_flight[server_id] <= 0:
             del self._in_flight[server_id]
+        if result is AttemptResult.NOT_SENT:
+            self._pacer.record_unreachable(server_id, now)
         if result is AttemptResult.REFUSED:
             # Refusing is correct for a full server, but counts as a failure
             # of one that reports a free slot.
