--- a/medlarhollow/transport/address.py
+++ b/medlarhollow/transport/address.py
@@ -29,7 +29,8 @@
     ('::1', 80)
     """
     host, separator, port = text.strip().rpartition(":")
-    if not separator or not host or not port.isdigit():
+    is_number = port.isascii() and port.isdigit()
+    if not separator or not host or not is_number:
         raise ValueError(f"'{text}' is not an address like 192.0.2.1:80")
     if not 0 < int(port) <= _MAX_PORT:
         raise ValueError(f"port {port} is not between 1 and {_MAX_PORT}")
