Test responses cut within their head and refusals sent twice

Neither happens here: a head that ends with its connection fails in the parser of aiohttp and is answered with 502, cut at eight places, in one read and in two. A refusal that a server writes once more, in the read of the first one or before the next response, carries the identifier of the earlier request, which is compared before anything else; requests that must not be repeated have a connection of their own.

--- a/medlarhollow/entry/tests/test_dialect.py
+++ b/medlarhollow/entry/tests/test_dialect.py
@@ -154,3 +154,84 @@
     async with entry.run(*backends):
         await call(entry)
     assert sum(len(backend.requests) for backend in backends) == 2
+
+
+HEAD_CUTS = [
+    b"HTTP/1.1 200 OK\r\n",
+    b"HTTP/1.1 200 OK\r\nX-Seal: 1",
+    b"HTTP/1.1 200 OK\r\nX-Seal: 1\r\n",
+    b"HTTP/1.1 200 OK\r\nX-Seal: 1\r\nContent-Le",
+    b"HTTP/1.1 200 OK\r\nX-Seal: 1\r\nContent-Length: 1",
+    b"HTTP/1.1 200 OK\r\nX-Seal: 1\r\nContent-Length: 10\r\n",
+    b"HTTP/1.1 200 OK\r\nX-Seal: 1\r\nTransfer-Encoding: chunked\r\n",
+    b"HTTP/1.1 200 OK\r\nX-Seal: 1\r\nContent-Length: 0\r\n",
+]
+
+
+@pytest.mark.parametrize("head", HEAD_CUTS)
+@pytest.mark.parametrize("method", ["GET", "POST"])
+@pytest.mark.parametrize("delay_s", [0.0, 0.05])
+async def test_response_that_ends_within_its_head_is_no_success(
+    head, method, delay_s
+):
+    """Guards invariant 8: the end of the connection ends no head."""
+
+    async def cut_head(request, reader, writer):
+        writer.write(head[:20])
+        await writer.drain()
+        await asyncio.sleep(delay_s)
+        writer.write(head[20:])
+        await writer.drain()
+
+    entry = EntryHarness()
+    async with entry.run(FakeBackend(cut_head)):
+        path = "/open/7" if method == "GET" else "/post"
+        status, headers, _ = await call(entry, path, method)
+    assert status == 502
+    assert headers["x-medlarhollow-outcome"] == "unknown"
+
+
+def echo_request_id(request):
+    [line] = [
+        line
+        for line in request.head.decode().split("\r\n")
+        if line.lower().startswith("x-request-id:")
+    ]
+    return f"{line}\r\n"
+
+
+@pytest.mark.parametrize("is_late", [False, True])
+@pytest.mark.parametrize("path", ["/open/7", "/post"])
+async def test_repeated_refusal_says_nothing_about_the_next_request(
+    is_late, path
+):
+    """Guards invariant 9: a refusal that a server sends twice is not taken
+    for the response to another request on the same connection."""
+    refusals = []
+
+    async def behaviour(request, reader, writer):
+        if request.connection == 1 and len(refusals) < 2:
+            refusal = (
+                "HTTP/1.1 503 Full\r\nContent-Length: 0\r\nX-Not-Run: 1\r\n"
+                f"{echo_request_id(request)}\r\n"
+            ).encode()
+            refusals.append(refusal)
+            if len(refusals) == 1:
+                writer.write(refusal if is_late else refusal * 2)
+                return True
+            writer.write(refusals[0])
+        headers = SEAL_HEADER + echo_request_id(request)
+        return await respond(headers=headers)(request, reader, writer)
+
+    entry = EntryHarness()
+    backend = FakeBackend(behaviour)
+    async with entry.run(backend):
+        assert (await call(entry))[0] == 503
+        method = "GET" if path == "/open/7" else "POST"
+        status, headers, body = await call(entry, path, method)
+        if status == 200:
+            assert body == b"done"
+        else:
+            assert status == 502
+            assert headers["x-medlarhollow-outcome"] == "unknown"
+    assert len(backend.requests) == 2
