--- a/bench/cut.py
+++ b/bench/cut.py
@@ -8,10 +8,10 @@
 import asyncio
 import math
 import tempfile
-import time
 
 import aiohttp
 
+from medlarhollow import clock
 from medlarhollow.localfleet import LocalFleet
 
 from .entry_load import configure
@@ -47,7 +47,7 @@
 
         tasks = []
         ends_at = cut_at + AFTER_CUT_S
-        while (now := time.monotonic()) < ends_at:
+        while (now := clock.monotonic()) < ends_at:
             tasks.append(asyncio.create_task(send(math.floor(now - cut_at))))
             await asyncio.sleep(1 / RATE_PER_S)
         await asyncio.gather(*tasks)
@@ -86,7 +86,7 @@
         for path in ("open", "keyed", "stale"):
             await wait_until_served(f"{entry_url}/{path}", headers)
         rows = []
-        cut_at = time.monotonic() + BEFORE_CUT_S
+        cut_at = clock.monotonic() + BEFORE_CUT_S
         tasks = [
             asyncio.create_task(
                 record_responses(
@@ -95,7 +95,7 @@
             )
             for path in ("open", "keyed", "stale")
         ]
-        await asyncio.sleep(cut_at - time.monotonic())
+        await asyncio.sleep(cut_at - clock.monotonic())
         for name, process in fleet.processes.items():
             if name.startswith("control"):
                 process.kill()
--- a/bench/restart.py
+++ b/bench/restart.py
@@ -10,8 +10,8 @@
 import asyncio
 import pathlib
 import tempfile
-import time
 
+from medlarhollow import clock
 from medlarhollow.agreement import Replica
 from medlarhollow.messages.records import Account
 from medlarhollow.messages.records import Change
@@ -69,12 +69,12 @@
 
     Both are in seconds from the start of the replica.
     """
-    started_at = time.monotonic()
+    started_at = clock.monotonic()
     replica = Replica(settings, None)
     await replica.start()
-    read_s = time.monotonic() - started_at
+    read_s = clock.monotonic() - started_at
     await wait_for_leader(replica)
-    ready_s = time.monotonic() - started_at
+    ready_s = clock.monotonic() - started_at
     assert replica.state.revision == count
     await replica.stop()
     return read_s, ready_s
--- a/bench/sync_cost.py
+++ b/bench/sync_cost.py
@@ -16,6 +16,7 @@
 from grpclib.server import Server
 import uvloop
 
+from medlarhollow import clock
 from medlarhollow.configuration import generate_key
 from medlarhollow.distribution import FleetStateCache
 from medlarhollow.distribution import Reports
@@ -68,7 +69,7 @@
         """Accept one change."""
         commit = Commit(self.state.revision + 1, time.time(), change)
         result = await self.apply_response(
-            SyncResponse(cluster="bench", commits=(commit,)), time.monotonic()
+            SyncResponse(cluster="bench", commits=(commit,)), clock.monotonic()
         )
         assert result.is_ok(), result
 
@@ -151,7 +152,7 @@
     async def change():
         for _ in range(CHANGE_COUNT):
             _, key = generate_key("a")
-            change_times.append(time.monotonic())
+            change_times.append(clock.monotonic())
             await source.add(Change(body=IssueKey(key), author="o"))
             await asyncio.sleep(CHANGE_INTERVAL_S)
 
@@ -163,12 +164,12 @@
 
 async def measure(meter, work):
     """Return the processor time, bytes and duration of a coroutine."""
-    cpu, wall = time.process_time(), time.monotonic()
+    cpu, wall = time.process_time(), clock.monotonic()
     sent, received = meter.sent, meter.received
     await work
     return {
         "cpu_s": time.process_time() - cpu,
-        "wall_s": time.monotonic() - wall,
+        "wall_s": clock.monotonic() - wall,
         "sent": meter.sent - sent,
         "received": meter.received - received,
     }
@@ -183,7 +184,7 @@
         FleetStub(channel).Sync.open() as stream,
     ):
         while True:
-            now = time.monotonic()
+            now = clock.monotonic()
             report = VmReport(vm=vm, revision=state_cache.state.revision)
             reports.add(SyncRequest(reports=(report,)), now)
             await stream.send_message(
@@ -195,7 +196,7 @@
             )
             response = await stream.recv_message()
             await state_cache.apply_response(response, now)
-            arrived_at = time.monotonic()
+            arrived_at = clock.monotonic()
             for commit in response.commits:
                 arrivals.setdefault(commit.revision, []).append(arrived_at)
 
@@ -209,9 +210,9 @@
     ]
     await asyncio.sleep(1.0)
     pipe.send("ready")
-    cpu, wall = time.process_time(), time.monotonic()
+    cpu, wall = time.process_time(), clock.monotonic()
     await asyncio.sleep(IDLE_S)
-    idle_cpu = (time.process_time() - cpu) / (time.monotonic() - wall)
+    idle_cpu = (time.process_time() - cpu) / (clock.monotonic() - wall)
     await asyncio.get_running_loop().run_in_executor(None, pipe.recv)
     pipe.send((idle_cpu, arrivals))
     for task in tasks:
--- a/medlarhollow/admin/fleet_admin.py
+++ b/medlarhollow/admin/fleet_admin.py
@@ -1,7 +1,6 @@
 """Serve operator requests independently of the front end."""
 
 import asyncio
-import time
 
 import attrs
 from grpclib.exceptions import GRPCError
@@ -9,6 +8,7 @@
 from result import Err
 from result import Ok
 
+from .. import clock
 from ..errors import fail
 from ..messages.codec import encode
 from ..messages.records import Applied
@@ -202,9 +202,9 @@
 
     async def _wait_for_revision(self, revision):
         """Wait for a revision; return whether this replica has applied it."""
-        deadline_at = time.monotonic() + _REPLICA_TIMEOUT_S
+        deadline_at = clock.monotonic() + _REPLICA_TIMEOUT_S
         while self.state.revision < revision:
-            remaining_s = deadline_at - time.monotonic()
+            remaining_s = deadline_at - clock.monotonic()
             if remaining_s <= 0:
                 return False
             await self._replica.wait_for_revision(
--- a/medlarhollow/admin/operations.py
+++ b/medlarhollow/admin/operations.py
@@ -6,6 +6,7 @@
 import attrs
 from result import Ok
 
+from .. import clock
 from ..errors import fail
 from ..messages.codec import encode
 from ..messages.records import ActivatePreset
@@ -126,7 +127,7 @@
 
 async def read_status(admin, request):
     """Return the state of the fleet."""
-    return Ok(await admin.status(time.monotonic(), time.time()))
+    return Ok(await admin.status(clock.monotonic(), time.time()))
 
 
 async def set_replica(admin, request):
--- a/medlarhollow/agreement/elections.py
+++ b/medlarhollow/agreement/elections.py
@@ -2,12 +2,12 @@
 
 import asyncio
 import logging
-import time
 
 import attrs
 from grpclib.exceptions import GRPCError
 from grpclib.exceptions import StreamTerminatedError
 
+from .. import clock
 from ..messages.records import VoteRequest
 from ..messages.services import RaftStub
 from ..transport import call
@@ -59,7 +59,7 @@
         Whether the vote is granted.
     """
     async with node.lock:
-        now = time.monotonic()
+        now = clock.monotonic()
         voter = VoterState(
             incarnation=node.identity.incarnation,
             hard=node.hard,
@@ -77,12 +77,12 @@
 async def _wait_for_election_timeout(node, random):
     shortest_s = node.settings.control.election_timeout_s
     timeout_s = random.uniform(shortest_s, 2 * shortest_s)
-    started_at = time.monotonic()
+    started_at = clock.monotonic()
     # A sole voter need not wait for a leader.
     if [*map(node.is_self, voters_of(node.log.replicas))] == [True]:
         return
     while True:
-        now = time.monotonic()
+        now = clock.monotonic()
         left_s = max(started_at, node.leader_contact_at) + timeout_s - now
         if left_s <= 0:
             return
@@ -116,7 +116,7 @@
         if not won:
             node.role = Role.FOLLOWER
             return False
-        become_leader(node, time.monotonic())
+        become_leader(node, clock.monotonic())
     return True
 
 
--- a/medlarhollow/agreement/joining.py
+++ b/medlarhollow/agreement/joining.py
@@ -2,11 +2,11 @@
 
 import asyncio
 import logging
-import time
 
 from grpclib.exceptions import GRPCError
 from grpclib.exceptions import StreamTerminatedError
 
+from .. import clock
 from ..messages.records import Replica
 from ..messages.records import SetReplicasRequest
 from ..messages.services import ControlStub
@@ -43,10 +43,10 @@
     if not node.settings.control.join:
         return
     timeout_s = node.settings.control.election_timeout_s
-    leaderless_since = time.monotonic()
+    leaderless_since = clock.monotonic()
     while not node.failed:
         await asyncio.sleep(timeout_s / 2)
-        now = time.monotonic()
+        now = clock.monotonic()
         if node.has_leader(now):
             leaderless_since = now
         elif now - leaderless_since >= _LEADERLESS_TIMEOUTS * timeout_s:
--- a/medlarhollow/agreement/leader.py
+++ b/medlarhollow/agreement/leader.py
@@ -8,6 +8,7 @@
 from grpclib.exceptions import GRPCError
 from grpclib.exceptions import StreamTerminatedError
 
+from .. import clock
 from ..messages.records import AppendRequest
 from ..messages.records import EntryKind
 from ..messages.records import LogEntry
@@ -91,8 +92,8 @@
         async with asyncio.TaskGroup() as group:
             while node.leads and node.hard.term == term:
                 _sync_peer_tasks(node, channels, group, tasks)
-                _check_quorum(node, time.monotonic())
-                _update_voters(node, time.monotonic())
+                _check_quorum(node, clock.monotonic())
+                _update_voters(node, clock.monotonic())
                 await asyncio.sleep(node.settings.control.heartbeat_s)
             for task in tasks.values():
                 task.cancel()
@@ -225,7 +226,7 @@
         commit_index=node.commit_index,
         entries=entries,
     )
-    sent_at = time.monotonic()
+    sent_at = clock.monotonic()
     timeout_s = node.settings.control.election_timeout_s
     response = await call(stub.Append, request, timeout_s)
     if not await _record_response(
@@ -293,7 +294,7 @@
             data=chunk,
             done=done,
         )
-        sent_at = time.monotonic()
+        sent_at = clock.monotonic()
         response = await call(stub.InstallSnapshot, request, timeout_s)
         if not await _record_response(node, progress, response, term, sent_at):
             return
--- a/medlarhollow/agreement/reads.py
+++ b/medlarhollow/agreement/reads.py
@@ -1,7 +1,8 @@
 """Confirm leadership before the state is read."""
 
 import asyncio
-import time
+
+from .. import clock
 
 __all__ = ["wait_for_quorum_acks"]
 
@@ -28,9 +29,9 @@
         the limit or if this replica does not lead. The clock alone is not
         enough: a process that was suspended may have lost its leadership.
     """
-    requested_at = time.monotonic()
+    requested_at = clock.monotonic()
     while node.is_ready:
-        now = time.monotonic()
+        now = clock.monotonic()
         if node.quorum_ack_age_s(now) < now - requested_at:
             return True
         if now - requested_at >= timeout_s:
--- a/medlarhollow/agreement/replica.py
+++ b/medlarhollow/agreement/replica.py
@@ -4,7 +4,6 @@
 import logging
 import os
 import random
-import time
 import uuid
 
 import attrs
@@ -13,6 +12,7 @@
 from result import Err
 from result import Ok
 
+from .. import clock
 from ..errors import fail
 from ..errors import FailureError
 from ..messages.records import ErrorKind
@@ -281,9 +281,9 @@
     async def _propose(self, propose_locally, method_of, request, forwarded):
         """Propose here or through the leader, with retries until the limit."""
         control = self._settings.control
-        deadline = time.monotonic() + control.propose_timeout_s
+        deadline = clock.monotonic() + control.propose_timeout_s
         result = fail(ErrorKind.NO_QUORUM, "no leader is known")
-        while (left_s := deadline - time.monotonic()) > 0:
+        while (left_s := deadline - clock.monotonic()) > 0:
             node = self._node
             if node is not None and node.leads:
                 result = await propose_locally(left_s)
--- a/medlarhollow/agreement/replication.py
+++ b/medlarhollow/agreement/replication.py
@@ -1,10 +1,10 @@
 """Handle log entries and snapshots sent by the leader."""
 
 import asyncio
-import time
 
 import attrs
 
+from .. import clock
 from ..messages import decode
 from ..messages.records import AppendResponse
 from ..messages.records import LogSnapshot
@@ -81,7 +81,7 @@
         await node.sync_log()
         last = request.previous_index + len(request.entries)
         node.record_leader_contact(
-            request.leader, request.leader_address, time.monotonic()
+            request.leader, request.leader_address, clock.monotonic()
         )
         node.commit_to(min(request.commit_index, last))
         return _respond(node, last, success=True)
@@ -118,7 +118,7 @@
                 node.incoming_snapshot = None
                 await _install_snapshot(node, bytes(incoming.data))
                 node.record_leader_contact(
-                    request.leader, request.leader_address, time.monotonic()
+                    request.leader, request.leader_address, clock.monotonic()
                 )
         return _respond_chunk(node, len(incoming.data))
 
@@ -131,7 +131,7 @@
     if node.role is not Role.FOLLOWER:
         node.step_down()
     node.record_leader_contact(
-        request.leader, request.leader_address, time.monotonic()
+        request.leader, request.leader_address, clock.monotonic()
     )
     return True
 
--- a/medlarhollow/agreement/tests/fakes.py
+++ b/medlarhollow/agreement/tests/fakes.py
@@ -3,12 +3,12 @@
 import asyncio
 import contextlib
 import pathlib
-import time
 
 from grpclib.const import Status
 from grpclib.exceptions import GRPCError
 from grpclib.exceptions import ProtocolError
 
+from medlarhollow import clock
 from medlarhollow.agreement import RaftService
 from medlarhollow.agreement import Replica
 from medlarhollow.control import ControlService
@@ -241,7 +241,7 @@
         )
 
     def status(self, name):
-        return self.replicas[name].status(time.monotonic())
+        return self.replicas[name].status(clock.monotonic())
 
     async def wait_until_caught_up(self, *names):
         """Wait until the replicas have reached the leader's revision."""
@@ -270,8 +270,8 @@
 
 async def eventually(check, limit_s=LIMIT_S):
     """Poll `check` and return its first true result."""
-    deadline = time.monotonic() + limit_s
-    while time.monotonic() < deadline:
+    deadline = clock.monotonic() + limit_s
+    while clock.monotonic() < deadline:
         if result := check():
             return result
         await asyncio.sleep(0.005)
--- a/medlarhollow/agreement/tests/test_processes.py
+++ b/medlarhollow/agreement/tests/test_processes.py
@@ -3,12 +3,12 @@
 import asyncio
 import shutil
 import signal
-import time
 
 from grpclib.exceptions import GRPCError
 from grpclib.exceptions import StreamTerminatedError
 import pytest
 
+from medlarhollow import clock
 from medlarhollow.control import ControlClient
 from medlarhollow.localfleet import LocalFleet
 from medlarhollow.messages.records import StatusRequest
@@ -56,7 +56,7 @@
             assert await self._propose(name) == applied, name
 
     async def _propose(self, name):
-        limit = time.monotonic() + LIMIT_S
+        limit = clock.monotonic() + LIMIT_S
         result = await self.client.propose(put_account(name), limit)
         assert result.is_ok(), result
         return result.ok_value
@@ -78,8 +78,8 @@
         return None
 
     async def eventually(self, check):
-        deadline = time.monotonic() + LIMIT_S
-        while time.monotonic() < deadline:
+        deadline = clock.monotonic() + LIMIT_S
+        while clock.monotonic() < deadline:
             if result := await check():
                 return result
             await asyncio.sleep(0.02)
@@ -134,7 +134,7 @@
     await fleet.put("x")
     name = await fleet.eventually(fleet.leader)
     fleet.process(name).send_signal(signal.SIGSTOP)
-    suspended_at = time.monotonic()
+    suspended_at = clock.monotonic()
     await fleet.put("y")
     revision = fleet.accepted["y"].revision
     await asyncio.sleep(2 * ELECTION_S)
@@ -142,7 +142,7 @@
     status = None
     while status is None:
         status = await fleet.status(name)
-    suspended_s = time.monotonic() - suspended_at
+    suspended_s = clock.monotonic() - suspended_at
     age_s = status.freshness_age_s
     assert age_s < 0 or age_s > suspended_s - 1.0
 
@@ -177,8 +177,8 @@
     path = fleet.folder / "control-2.data" / "state"
     path.write_bytes(path.read_bytes()[:-1])
     process.start()
-    deadline = time.monotonic() + LIMIT_S
-    while process.exit_code is None and time.monotonic() < deadline:
+    deadline = clock.monotonic() + LIMIT_S
+    while process.exit_code is None and clock.monotonic() < deadline:
         await asyncio.sleep(0.05)
     assert process.exit_code == 4
     assert "Traceback" not in process.log
--- a/medlarhollow/agreement/tests/test_replicas_agree.py
+++ b/medlarhollow/agreement/tests/test_replicas_agree.py
@@ -2,10 +2,10 @@
 
 import asyncio
 import shutil
-import time
 
 import pytest
 
+from medlarhollow import clock
 from medlarhollow.messages.records import ErrorKind
 
 from .fakes import address_of
@@ -70,12 +70,12 @@
         if direction != "outward":
             cluster.network.cut(address_of(other), address_of(leader))
     replica = cluster.replicas[leader]
-    cut_at = time.monotonic()
+    cut_at = clock.monotonic()
     proposal = asyncio.create_task(replica.propose(put_account("lost")))
 
     def stopped():
         # A message that was sent just before the cut may be acknowledged.
-        now = time.monotonic()
+        now = clock.monotonic()
         assert replica.freshness_age_s(now) >= now - cut_at - 0.05
         return not replica.is_leader
 
--- a/medlarhollow/cli/client.py
+++ b/medlarhollow/cli/client.py
@@ -1,13 +1,13 @@
 """Client of the administration API."""
 
 import asyncio
-import time
 import uuid
 
 import aiohttp
 from result import Err
 from result import Ok
 
+from .. import clock
 from ..errors import fail
 from ..messages.records import ErrorKind
 from ..messages.records import Failure
@@ -73,7 +73,7 @@
         list of result.Result
             Results in the order of the addresses.
         """
-        deadline_at = time.monotonic() + self._timeout_s
+        deadline_at = clock.monotonic() + self._timeout_s
         attempts = (
             self._attempt(address, "GET", path, None, None, {}, deadline_at)
             for address in self._addresses
@@ -117,7 +117,7 @@
         return await self._send(method, path, query, body, headers)
 
     async def _send(self, method, path, query, body, headers):
-        deadline_at = time.monotonic() + self._timeout_s
+        deadline_at = clock.monotonic() + self._timeout_s
         may_be_accepted = False
         while True:
             for address in self._addresses:
@@ -135,7 +135,7 @@
                     ErrorKind.OUTCOME_UNKNOWN
                 ):
                     return result
-            if time.monotonic() + _RETRY_DELAY_S >= deadline_at:
+            if clock.monotonic() + _RETRY_DELAY_S >= deadline_at:
                 break
             await asyncio.sleep(_RETRY_DELAY_S)
         if method == "GET" or not may_be_accepted:
@@ -150,7 +150,7 @@
     async def _attempt(
         self, address, method, path, query, body, headers, deadline_at
     ):
-        remaining_s = max(deadline_at - time.monotonic(), 0.05)
+        remaining_s = max(deadline_at - clock.monotonic(), 0.05)
         url = address if "://" in address else f"http://{address}"
         try:
             async with self._session.request(
--- a/medlarhollow/control/client.py
+++ b/medlarhollow/control/client.py
@@ -1,13 +1,13 @@
 """Client that proposes changes to the control replicas."""
 
 import asyncio
-import time
 
 from grpclib.exceptions import GRPCError
 from grpclib.exceptions import StreamTerminatedError
 from result import Err
 from result import Ok
 
+from .. import clock
 from ..errors import fail
 from ..messages.records import ErrorKind
 from ..messages.records import ProposeRequest
@@ -62,9 +62,9 @@
         """
         request = ProposeRequest(change=change)
         detail = "no control replica responded before the deadline"
-        while time.monotonic() < deadline_at:
+        while clock.monotonic() < deadline_at:
             for address in self._candidates():
-                remaining_s = deadline_at - time.monotonic()
+                remaining_s = deadline_at - clock.monotonic()
                 if remaining_s <= 0:
                     break
                 result = await self._propose_to(address, request, remaining_s)
@@ -73,7 +73,7 @@
                 if not _is_retryable(result):
                     return result
                 detail = result.err_value.detail
-            remaining_s = deadline_at - time.monotonic()
+            remaining_s = deadline_at - clock.monotonic()
             await asyncio.sleep(max(0.0, min(_RETRY_DELAY_S, remaining_s)))
         return fail(ErrorKind.NO_QUORUM, detail)
 
--- a/medlarhollow/control/leader_tasks.py
+++ b/medlarhollow/control/leader_tasks.py
@@ -5,6 +5,7 @@
 import time
 import uuid
 
+from .. import clock
 from ..limits import DEMAND_PERIOD_S
 from ..messages.records import Change
 from ..messages.records import ErrorKind
@@ -63,7 +64,7 @@
             if not self._replica.is_leader:
                 self._planner = None
                 continue
-            bodies = self._plan(time.monotonic(), time.time())
+            bodies = self._plan(clock.monotonic(), time.time())
             if await self._propose_all(bodies) and any(
                 isinstance(body, SetVm) for body in bodies
             ):
@@ -72,7 +73,7 @@
                 # not in the next round.
                 state = self._replica.state
                 await self._propose_all(
-                    self._planner.plan_allocators(state, time.monotonic())
+                    self._planner.plan_allocators(state, clock.monotonic())
                 )
 
     def _plan(self, now, unix_now):
--- a/medlarhollow/control/service.py
+++ b/medlarhollow/control/service.py
@@ -1,10 +1,9 @@
 """gRPC service of a control replica."""
 
-import time
-
 from grpclib.const import Status
 from grpclib.exceptions import GRPCError
 
+from .. import clock
 from ..messages.records import ProposeResponse
 from ..messages.services import ControlBase
 
@@ -47,7 +46,7 @@
             raise GRPCError(
                 Status.UNAVAILABLE, "leadership was not confirmed by a quorum"
             )
-        await stream.send_message(self._replica.status(time.monotonic()))
+        await stream.send_message(self._replica.status(clock.monotonic()))
 
     async def SetReplicas(self, stream):
         """Add or remove one control replica, or change its address."""
--- a/medlarhollow/control/tests/test_client.py
+++ b/medlarhollow/control/tests/test_client.py
@@ -1,10 +1,9 @@
 """Tests of the client of the control replicas, with fake replicas."""
 
-import time
-
 import pytest
 from result import Ok
 
+from medlarhollow import clock
 from medlarhollow.agreement.tests.fakes import address_of
 from medlarhollow.agreement.tests.fakes import FakeChannels
 from medlarhollow.agreement.tests.fakes import FakeCluster
@@ -47,7 +46,9 @@
 
 
 async def propose(client, timeout_s=5.0):
-    return await client.propose(put_account("x"), time.monotonic() + timeout_s)
+    return await client.propose(
+        put_account("x"), clock.monotonic() + timeout_s
+    )
 
 
 @pytest.mark.parametrize(
@@ -92,7 +93,7 @@
 async def test_deadline_is_respected(tmp_path):
     """Guards against a proposal that continues after the caller's deadline."""
     client, _ = make_client(tmp_path, a=FakeReplica(NO_QUORUM))
-    started_at = time.monotonic()
+    started_at = clock.monotonic()
     result = await propose(client, timeout_s=0.3)
     assert result.err_value.kind is ErrorKind.NO_QUORUM
-    assert time.monotonic() - started_at < 2.0
+    assert clock.monotonic() - started_at < 2.0
--- a/medlarhollow/control/tests/test_leader_tasks.py
+++ b/medlarhollow/control/tests/test_leader_tasks.py
@@ -1,12 +1,12 @@
 """Tests of the planning rounds of a control leader during one term."""
 
 import asyncio
-import time
 
 import attrs
 import pytest
 from result import Ok
 
+from medlarhollow import clock
 from medlarhollow.control import leader_tasks
 from medlarhollow.control.leader_tasks import LeaderTasks
 from medlarhollow.control.leader_tasks import TermPlanner
@@ -150,7 +150,7 @@
     monkeypatch.setattr(leader_tasks, "LEADER_INTERVAL_S", 0.01)
     replica = FakeReplica(make_state(), is_leader=False)
     reports = Reports()
-    reports.add(SyncRequest(reports=(report(vm("a1")),)), time.monotonic())
+    reports.add(SyncRequest(reports=(report(vm("a1")),)), clock.monotonic())
     task = asyncio.create_task(
         LeaderTasks(Settings, replica, reports, EmptyDirectory()).run()
     )
@@ -185,7 +185,7 @@
     monkeypatch.setattr(leader_tasks, "LEADER_INTERVAL_S", 0.01)
     replica = FakeReplica(make_state(), failure=failure)
     reports = Reports()
-    now = time.monotonic()
+    now = clock.monotonic()
     reports.add(SyncRequest(reports=(report(vm("a1")), report(vm("b1")))), now)
     tasks = LeaderTasks(Settings, replica, reports, EmptyDirectory())
     planned = list(tasks._plan(now, UNIX_START_S))
@@ -229,7 +229,7 @@
     replica = SlowReplica(state)
     reports = Reports()
     request = SyncRequest(reports=tuple(report(vm(name)) for name in names))
-    reports.add(request, time.monotonic())
+    reports.add(request, clock.monotonic())
     task = asyncio.create_task(
         LeaderTasks(Settings, replica, reports, EmptyDirectory()).run()
     )
@@ -249,7 +249,7 @@
     monkeypatch.setattr(leader_tasks, "LEADER_INTERVAL_S", 0.2)
     replica = FakeReplica(make_state())
     reports = Reports()
-    reports.add(SyncRequest(reports=(report(vm("a1")),)), time.monotonic())
+    reports.add(SyncRequest(reports=(report(vm("a1")),)), clock.monotonic())
     task = asyncio.create_task(
         LeaderTasks(Settings, replica, reports, EmptyDirectory()).run()
     )
--- a/medlarhollow/daemon/fleet_service.py
+++ b/medlarhollow/daemon/fleet_service.py
@@ -1,7 +1,6 @@
 """RPC service between the VMs of a fleet."""
 
-import time
-
+from .. import clock
 from ..distribution import serve_sync
 from ..limits import serve_tokens
 from ..messages.services import FleetBase
@@ -66,7 +65,7 @@
         """Grant credit for requests from another data centre."""
         request = await stream.recv_message()
         if request is not None:
-            now = time.monotonic()
+            now = clock.monotonic()
             await stream.send_message(
                 self._dispatcher.grant_credit(request, now)
             )
--- a/medlarhollow/daemon/load_monitor.py
+++ b/medlarhollow/daemon/load_monitor.py
@@ -4,6 +4,8 @@
 import logging
 import time
 
+from .. import clock
+
 __all__ = ["LoadMonitor"]
 
 _LOG = logging.getLogger(__name__)
@@ -35,11 +37,11 @@
 
     async def run(self):
         """Measure continuously and log the load every ten seconds."""
-        logged_at = time.monotonic()
+        logged_at = clock.monotonic()
         while True:
-            due_at = time.monotonic() + _SAMPLE_INTERVAL_S
+            due_at = clock.monotonic() + _SAMPLE_INTERVAL_S
             await asyncio.sleep(_SAMPLE_INTERVAL_S)
-            now = time.monotonic()
+            now = clock.monotonic()
             self._lag_s = max(self._lag_s, now - due_at)
             if now - logged_at >= _LOG_INTERVAL_S:
                 logged_at = now
--- a/medlarhollow/daemon/process.py
+++ b/medlarhollow/daemon/process.py
@@ -4,9 +4,9 @@
 import logging
 import signal
 import socket
-import time
 import uuid
 
+from .. import clock
 from ..admin import FleetAdmin
 from ..agreement import RaftService
 from ..agreement import Replica
@@ -95,7 +95,7 @@
         self._incarnation = uuid.uuid4().hex
         self._directory = Directory(settings)
         self._allocator = ShareAllocator(
-            settings, self._state_cache, self._incarnation, time.monotonic()
+            settings, self._state_cache, self._incarnation, clock.monotonic()
         )
         self._limiter = Limiter(
             settings,
@@ -172,7 +172,7 @@
         )
         self._telemetry.register_gauge(
             "freshness_age",
-            lambda: state_cache.freshness_age_s(time.monotonic()),
+            lambda: state_cache.freshness_age_s(clock.monotonic()),
         )
         self._telemetry.register_gauge(
             "move_fraction",
@@ -272,7 +272,7 @@
         """Add local samples to the reports, which Sync requests forward."""
         while True:
             await asyncio.sleep(LEADER_INTERVAL_S)
-            now = time.monotonic()
+            now = clock.monotonic()
             self._reports.add(
                 SyncRequest(
                     versions=self._version_selector.pop_samples(),
@@ -291,7 +291,7 @@
             )
             # Claims are completed after the last responses.
             cancelled = await self._drain.wait(
-                self._drain_deadline - time.monotonic()
+                self._drain_deadline - clock.monotonic()
             )
         return cancelled + sum(server.aborted for server in servers)
 
@@ -309,7 +309,7 @@
             await asyncio.sleep(self._settings.entry.drain_notice_s)
         self._drain.close()
         self._drain_deadline = (
-            time.monotonic() + self._settings.entry.drain_limit_s
+            clock.monotonic() + self._settings.entry.drain_limit_s
         )
         self._closing.set()
 
--- a/medlarhollow/daemon/tests/test_operator_tool.py
+++ b/medlarhollow/daemon/tests/test_operator_tool.py
@@ -4,10 +4,10 @@
 import json
 import subprocess
 import sys
-import time
 
 import pytest
 
+from medlarhollow import clock
 from medlarhollow.localfleet import LocalFleet
 
 LIMIT_S = 20.0
@@ -42,12 +42,12 @@
         )
 
     def wait_for_leader(self):
-        deadline = time.monotonic() + LIMIT_S
+        deadline = clock.monotonic() + LIMIT_S
         while True:
             try:
                 assert self.run("status")["is_leader"]
             except AssertionError:
-                if time.monotonic() > deadline:
+                if clock.monotonic() > deadline:
                     raise
             else:
                 return
--- a/medlarhollow/daemon/tests/test_orders.py
+++ b/medlarhollow/daemon/tests/test_orders.py
@@ -2,8 +2,8 @@
 
 import asyncio
 import signal
-import time
 
+from medlarhollow import clock
 from medlarhollow.entry.tests.fakes import make_idempotency_key
 from medlarhollow.entry.tests.fakes import respond
 
@@ -83,8 +83,8 @@
                 await asyncio.sleep(0.01)
         process = fleet.local_fleet.processes["north-a-1"]
         process.send_signal(signal.SIGSTOP)
-        end = time.monotonic() + FREEZE_S
-        while time.monotonic() < end:
+        end = clock.monotonic() + FREEZE_S
+        while clock.monotonic() < end:
             status, headers, _ = await fleet.send_order("north-a-2", key)
             assert status != 201
             assert headers["x-medlarhollow-outcome"] in ("unknown", "not-run")
--- a/medlarhollow/daemon/tests/test_stop.py
+++ b/medlarhollow/daemon/tests/test_stop.py
@@ -2,11 +2,11 @@
 
 import asyncio
 import signal
-import time
 
 import aiohttp
 import pytest
 
+from medlarhollow import clock
 from medlarhollow.entry.tests.fakes import respond
 
 from .fleets import run_fleet
@@ -46,7 +46,7 @@
     async with run_fleet(tmp_path, respond_slowly(2.5)) as fleet:
         slow = await start_slow_request(fleet)
         fleet.process.send_signal(signal.SIGTERM)
-        signalled_at = time.monotonic()
+        signalled_at = clock.monotonic()
 
         async def has_left_lookups():
             names = await fleet.look_up_vms()
@@ -56,7 +56,7 @@
         status, headers, _ = await fleet.get()
         assert status == 200, "connections are accepted during the notice time"
         assert headers["connection"] == "close"
-        assert time.monotonic() - signalled_at < 1.5
+        assert clock.monotonic() - signalled_at < 1.5
 
         async def is_refused():
             try:
--- a/medlarhollow/distribution/follow.py
+++ b/medlarhollow/distribution/follow.py
@@ -2,12 +2,12 @@
 
 import asyncio
 import logging
-import time
 
 import attrs
 from grpclib.exceptions import GRPCError
 from grpclib.exceptions import StreamTerminatedError
 
+from .. import clock
 from ..messages.records import SyncRequest
 from ..messages.services import FleetStub
 from .serve import build_sync_response
@@ -102,7 +102,7 @@
     while True:
         while follower.is_local_leader:
             await _mirror_local_replica(follower)
-        now = time.monotonic()
+        now = clock.monotonic()
         address = choose_upstream(follower.upstreams(), follower.failures, now)
         if address is None:
             await asyncio.sleep(_RETRY_INTERVAL_S)
@@ -121,7 +121,7 @@
 
 async def _mirror_local_replica(follower):
     """Apply the state of this process's replica, which is the leader."""
-    now = time.monotonic()
+    now = clock.monotonic()
     follower.reports.add(
         SyncRequest(reports=(follower.local_report(now),)), now
     )
@@ -132,7 +132,7 @@
     await follower.replica.wait_for_revision(
         request.revision, _MIRROR_INTERVAL_S
     )
-    now = time.monotonic()
+    now = clock.monotonic()
     response = build_sync_response(
         request, follower.replica, follower.settings, now, now
     )
@@ -186,13 +186,13 @@
     follower.failures[address] = next_failure(
         follower.failures.get(address),
         follower.is_replica(address),
-        time.monotonic(),
+        clock.monotonic(),
     )
 
 
 async def _exchange(follower, stream, sequence):
     """Send one request and apply its response."""
-    requested_at = time.monotonic()
+    requested_at = clock.monotonic()
     report = follower.local_report(requested_at)
     follower.reports.add(SyncRequest(reports=(report,)), requested_at)
     await stream.send_message(_build_request(follower, sequence, requested_at))
--- a/medlarhollow/distribution/serve.py
+++ b/medlarhollow/distribution/serve.py
@@ -3,10 +3,10 @@
 import asyncio
 import logging
 import math
-import time
 
 import attrs
 
+from .. import clock
 from ..configuration import count_records
 from ..messages.records import ErrorKind
 from ..messages.records import Failure
@@ -60,20 +60,20 @@
             return
         if request is None:
             return
-        received_at = time.monotonic()
+        received_at = clock.monotonic()
         reports.add(request, received_at)
         if request.cluster == settings.vm.cluster:
             await _wait_for_change(source, request.revision)
         await stream.send_message(
             build_sync_response(
-                request, source, settings, time.monotonic(), received_at
+                request, source, settings, clock.monotonic(), received_at
             )
         )
 
 
 async def _wait_for_change(source, revision):
     """Wait for a change or, while there is no proof, for a proof."""
-    now = time.monotonic()
+    now = clock.monotonic()
     if _has_fresh_proof(source, now):
         is_behind = revision < source.state.revision
         await source.wait_for_revision(revision, MAX_HOLD_S)
@@ -83,7 +83,7 @@
     deadline_at = now + MAX_HOLD_S
     while now < deadline_at and not _has_fresh_proof(source, now):
         await asyncio.sleep(_PROOF_POLL_S)
-        now = time.monotonic()
+        now = clock.monotonic()
 
 
 def _has_fresh_proof(source, now):
--- a/medlarhollow/distribution/tests/test_follow.py
+++ b/medlarhollow/distribution/tests/test_follow.py
@@ -3,12 +3,12 @@
 import asyncio
 import contextlib
 import sys
-import time
 
 from grpclib.const import Cardinality
 from grpclib.const import Handler
 import pytest
 
+from medlarhollow import clock
 from medlarhollow.agreement.tests.fakes import eventually
 from medlarhollow.agreement.tests.fakes import FakeChannels
 from medlarhollow.agreement.tests.fakes import FakeNetwork
@@ -159,7 +159,7 @@
         await eventually(
             lambda: all(
                 vm.source.state.revision >= revision
-                and vm.source.freshness_age_s(time.monotonic()) < 1.0
+                and vm.source.freshness_age_s(clock.monotonic()) < 1.0
                 for vm in vms or self.vms
             )
         )
@@ -177,7 +177,7 @@
         fleet.network.isolate(CONTROLS[0], [vm_address]),
     ),
     "lost its quorum": lambda fleet, _: setattr(
-        fleet.controls[0], "proof_at", time.monotonic() - 3.0
+        fleet.controls[0], "proof_at", clock.monotonic() - 3.0
     ),
     "never had a proof": lambda fleet, _: setattr(
         fleet.controls[0], "proof_at", float("-inf")
@@ -199,7 +199,9 @@
         FAULTS[fault](fleet, address)
     await fleet.controls[1].commit(put_account("x"))
     await eventually(lambda: vm.source.state.revision == 1)
-    await eventually(lambda: vm.source.freshness_age_s(time.monotonic()) < 1.0)
+    await eventually(
+        lambda: vm.source.freshness_age_s(clock.monotonic()) < 1.0
+    )
 
 
 async def test_vm_returns_to_the_preferred_upstream(fleet):
@@ -213,7 +215,7 @@
 
     def has_returned():
         nonlocal oldest_s
-        oldest_s = max(oldest_s, vm.source.freshness_age_s(time.monotonic()))
+        oldest_s = max(oldest_s, vm.source.freshness_age_s(clock.monotonic()))
         return fleet.controls[0].streams and not fleet.controls[1].streams
 
     await eventually(has_returned)
@@ -226,10 +228,10 @@
     fleet.network.cut(CONTROLS[0], "127.0.0.1:100")
     vm = fleet.add("a")
     await fleet.wait_until_current()
-    began_at = time.monotonic()
-    while time.monotonic() < began_at + 2.0:
+    began_at = clock.monotonic()
+    while clock.monotonic() < began_at + 2.0:
         await asyncio.sleep(0.01)
-        assert vm.source.freshness_age_s(time.monotonic()) < 0.9
+        assert vm.source.freshness_age_s(clock.monotonic()) < 0.9
     assert fleet.controls[1].opened == 1
 
 
@@ -239,12 +241,12 @@
     vms = [fleet.add(name) for name in "abc"]
     await fleet.commit(*(Change(body=SetVm(vm.vm)) for vm in vms))
     await fleet.wait_until_current()
-    lost_at = time.monotonic()
+    lost_at = clock.monotonic()
     for control in fleet.controls:
         control.proof_at = lost_at
-    while time.monotonic() < lost_at + 3.0:
+    while clock.monotonic() < lost_at + 3.0:
         await asyncio.sleep(0.02)
-        now = time.monotonic()
+        now = clock.monotonic()
         for vm in vms:
             # A proof from before the loss may still be in transit.
             assert vm.source.freshness_age_s(now) >= now - lost_at - 0.2
@@ -263,7 +265,8 @@
     await fleet.commit(put_account("x"))
     await fleet.wait_until_current()
     assert (
-        len(fleet.controls[0].reports.list_recent(time.monotonic(), 3.0)) == 24
+        len(fleet.controls[0].reports.list_recent(clock.monotonic(), 3.0))
+        == 24
     )
     fleet.network.remove("127.0.0.1:100")
     fleet.network.isolate(
@@ -314,7 +317,9 @@
     )
     vm = fleet.add("a")
     await control.commit(put_account("foreign"))
-    await eventually(lambda: vm.source.freshness_age_s(time.monotonic()) < 1.0)
+    await eventually(
+        lambda: vm.source.freshness_age_s(clock.monotonic()) < 1.0
+    )
     assert vm.source.state.revision == 0
 
 
@@ -329,12 +334,12 @@
     control = fleet.controls[0]
     await fleet.commit(put_account("a"))
     for replica in fleet.controls:
-        replica.proof_at = time.monotonic() - 100.0
+        replica.proof_at = clock.monotonic() - 100.0
     vm = fleet.add("vm-1")
     await eventually(lambda: control.streams)
     await asyncio.sleep(0.2)
     assert not vm.source.has_proof
-    control.proof_at = time.monotonic()
+    control.proof_at = clock.monotonic()
     await eventually(lambda: vm.source.has_proof, 2.0)
     assert control.opened == 1
 
--- a/medlarhollow/distribution/tests/test_leave_upstream.py
+++ b/medlarhollow/distribution/tests/test_leave_upstream.py
@@ -1,11 +1,11 @@
 """Leaving an upstream over a real connection."""
 
 import asyncio
-import time
 from types import SimpleNamespace
 
 import pytest
 
+from medlarhollow import clock
 from medlarhollow.daemon.fleet_service import FleetService
 from medlarhollow.distribution import FleetStateCache
 from medlarhollow.distribution import Reports
@@ -45,7 +45,7 @@
     settings = parse_settings(SETTINGS.format(address=address, secret=secret))
     upstream = FleetStateCache(settings)
     await upstream.apply_response(
-        SyncResponse(cluster="test", freshness_age_s=0.0), time.monotonic()
+        SyncResponse(cluster="test", freshness_age_s=0.0), clock.monotonic()
     )
     service = FleetService(
         settings, lambda: upstream, Reports(), None, None, None, None
--- a/medlarhollow/entry/announce.py
+++ b/medlarhollow/entry/announce.py
@@ -1,7 +1,6 @@
 """HTTP application that receives announcements of backend servers."""
 
 import json
-import time
 
 import attrs
 from result import Ok
@@ -9,6 +8,7 @@
 from starlette.responses import JSONResponse
 from starlette.routing import Route
 
+from .. import clock
 from ..errors import fail
 from ..membership import check_announcement
 from ..messages.records import BackendServer
@@ -140,7 +140,7 @@
         )
         if checked.is_err():
             return checked
-        now = time.monotonic()
+        now = clock.monotonic()
         passed = announcement_filter.check(checked.ok_value, now)
         if passed.is_ok():
             vm.directory.announce(passed.ok_value, now)
--- a/medlarhollow/entry/attempts.py
+++ b/medlarhollow/entry/attempts.py
@@ -3,11 +3,11 @@
 import asyncio
 import logging
 import math
-import time
 
 import attrs
 from result import Ok
 
+from .. import clock
 from ..errors import fail
 from ..errors import outcome_of
 from ..messages.records import ErrorKind
@@ -157,10 +157,10 @@
     request = attrs.evolve(admission.slot_request, excluded=progress.excluded)
     if deadline_at is not None:
         request = attrs.evolve(request, deadline_at=deadline_at)
-    started_at = time.monotonic()
+    started_at = clock.monotonic()
     with vm.telemetry.span("entry.queue"):
         assigned = await vm.wait_in_queue(vm.dispatcher.acquire(request))
-    progress.trace.slot_wait_s += time.monotonic() - started_at
+    progress.trace.slot_wait_s += clock.monotonic() - started_at
     if assigned.is_err():
         return assigned
     return Ok(Slot(vm, request.route, assigned.ok_value))
@@ -172,7 +172,7 @@
         _service_of(admission)
     ) or not _can_retry(caller, admission, progress):
         return False
-    limit_at = time.monotonic() + _RETRY_SLOT_WAIT_S
+    limit_at = clock.monotonic() + _RETRY_SLOT_WAIT_S
     limit_at = min(limit_at, admission.slot_request.deadline_at)
     acquired = await _acquire_slot(vm, admission, progress, limit_at)
     if acquired.is_err():
@@ -185,14 +185,14 @@
 
 
 async def _check_before_sending(vm, admission, progress, prepare):
-    checked = recheck_key(vm, admission, time.monotonic())
+    checked = recheck_key(vm, admission, clock.monotonic())
     if checked.is_err():
         return checked
     if prepare is not None and progress.attempt_count == 0:
         prepared = await prepare()
         if prepared.is_err() or prepared.ok_value is not None:
             return prepared
-    if time.monotonic() >= admission.slot_request.deadline_at:
+    if clock.monotonic() >= admission.slot_request.deadline_at:
         return fail(
             ErrorKind.DEADLINE_EXCEEDED, "the deadline passed before sending"
         )
@@ -261,7 +261,7 @@
     response = None
     try:
         if admission.idempotent and caller.is_buffered:
-            left_s = admission.slot_request.deadline_at - time.monotonic()
+            left_s = admission.slot_request.deadline_at - clock.monotonic()
             silence_limit_s = left_s * vm.settings.entry.silent_part
             await asyncio.wait({request_task}, timeout=silence_limit_s)
             if not request_task.done() and await _reserve_retry(
@@ -271,7 +271,7 @@
                     raise TimeoutError
                 progress.reserved.release()
                 progress.reserved = None
-        left_s = admission.slot_request.deadline_at - time.monotonic()
+        left_s = admission.slot_request.deadline_at - clock.monotonic()
         async with asyncio.timeout(left_s):
             response = await request_task
         return response
@@ -325,7 +325,7 @@
         _LOG.info("entry: %s: %s", slot.address, load.err_value.detail)
     elif load.ok_value is not None:
         vm.dispatcher.record_load(
-            slot.assignment, load.ok_value, time.monotonic()
+            slot.assignment, load.ok_value, clock.monotonic()
         )
 
 
@@ -379,7 +379,7 @@
         progress.attempt_count
         < (admission.slot_request.route.attempts or _DEFAULT_ATTEMPTS)
         and caller.can_replay
-        and time.monotonic() < admission.slot_request.deadline_at
+        and clock.monotonic() < admission.slot_request.deadline_at
     )
 
 
--- a/medlarhollow/entry/backend_client.py
+++ b/medlarhollow/entry/backend_client.py
@@ -1,11 +1,11 @@
 """HTTP client for backend servers."""
 
 import asyncio
-import time
 
 import aiohttp
 from yarl import URL
 
+from .. import clock
 from ..requests import NotSent
 from ..requests import Unanswered
 
@@ -23,10 +23,8 @@
     aiohttp.ClientConnectorError,
     aiohttp.ConnectionTimeoutError,
 )
-
-
-# Time for which requests to a server use new connections, after it closed one
-# without a response: its other idle connections are probably lost as well.
+# Time for which requests to a server use new connections after it closed one
+# without a response, since its other idle connections are probably lost too.
 _NEW_CONNECTIONS_S = 5.0
 
 
@@ -102,7 +100,7 @@
             A response must be closed by the caller of this method.
         """
         pool = self._single_use
-        if repeatable and self._may_reuse(address, time.monotonic()):
+        if repeatable and self._may_reuse(address, clock.monotonic()):
             pool = self._pools.get(address)
             if pool is None:
                 session = self._open_session(force_close=False)
@@ -122,7 +120,7 @@
             return NotSent(f"cannot connect to {address}: {error}")
         except _ConnectionLostError as error:
             self._new_connections_until[address] = (
-                time.monotonic() + _NEW_CONNECTIONS_S
+                clock.monotonic() + _NEW_CONNECTIONS_S
             )
             return Unanswered(f"no response from {address}: {error}")
         except (aiohttp.ClientError, OSError, ValueError) as error:
@@ -152,7 +150,7 @@
         stall_s = self._settings.entry.stall_timeout_s
         try:
             while True:
-                left_s = deadline_at - time.monotonic()
+                left_s = deadline_at - clock.monotonic()
                 if left_s <= 0:
                     # While data is always available, the timeout below never
                     # fires.
--- a/medlarhollow/entry/backend_request.py
+++ b/medlarhollow/entry/backend_request.py
@@ -1,7 +1,6 @@
 """Build the request to a backend server from a caller's request."""
 
-import time
-
+from .. import clock
 from ..requests import format_remaining
 from ..requests import redact_text
 from ..transport.channel import SECRET_HEADER
@@ -46,7 +45,7 @@
     deadline_at = admission.slot_request.deadline_at
     headers += [
         (REQUEST_ID_HEADER, admission.request_id),
-        (DEADLINE_HEADER, format_remaining(deadline_at, time.monotonic())),
+        (DEADLINE_HEADER, format_remaining(deadline_at, clock.monotonic())),
     ]
     trace = {}
     vm.telemetry.inject(trace)
--- a/medlarhollow/entry/claim_client.py
+++ b/medlarhollow/entry/claim_client.py
@@ -3,12 +3,12 @@
 import asyncio
 import hashlib
 import logging
-import time
 import uuid
 
 import attrs
 from result import Ok
 
+from .. import clock
 from ..errors import fail
 from ..messages.records import Change
 from ..messages.records import Claim
@@ -111,7 +111,7 @@
             was already completed, or the failure to report.
         """
         limit_s = self.vm.settings.entry.claim_timeout_s
-        expires_at = min(deadline_at, time.monotonic() + limit_s)
+        expires_at = min(deadline_at, clock.monotonic() + limit_s)
         body = Claim(
             self.account, self.idempotency_key, self.attempt, self.fingerprint
         )
@@ -150,7 +150,7 @@
         )
 
     async def _propose_in_background(self, action, body):
-        expires_at = time.monotonic() + _BACKGROUND_LIMIT_S
+        expires_at = clock.monotonic() + _BACKGROUND_LIMIT_S
         result = await self._propose(action, body, expires_at)
         if result.is_err():
             _LOG.warning(
@@ -165,7 +165,7 @@
         change = Change(request_id=f"{self.attempt}-{action}", body=body)
         delay_s = _RETRY_DELAY_S
         while True:
-            now = time.monotonic()
+            now = clock.monotonic()
             proposal_expires_at = min(expires_at, now + _PROPOSAL_TIMEOUT_S)
             result = await self.vm.control.propose(change, proposal_expires_at)
             if (
@@ -173,7 +173,7 @@
                 or result.err_value.kind not in _TRANSIENT_ERRORS
             ):
                 return result
-            if time.monotonic() + delay_s >= expires_at:
+            if clock.monotonic() + delay_s >= expires_at:
                 return fail(
                     ErrorKind.NO_QUORUM,
                     "no quorum of control replicas could be reached, so "
--- a/medlarhollow/entry/drain.py
+++ b/medlarhollow/entry/drain.py
@@ -2,7 +2,8 @@
 
 import asyncio
 import logging
-import time
+
+from .. import clock
 
 __all__ = ["Drain"]
 
@@ -79,12 +80,12 @@
         int
             Number of requests that were cancelled.
         """
-        deadline = time.monotonic() + limit_s
-        while self._tasks and time.monotonic() < deadline:
+        deadline = clock.monotonic() + limit_s
+        while self._tasks and clock.monotonic() < deadline:
             # A request that ends may start another task, the completion of
             # its claim.
             await asyncio.wait(
-                set(self._tasks), timeout=deadline - time.monotonic()
+                set(self._tasks), timeout=deadline - clock.monotonic()
             )
         cancelled_requests = len(self._requests)
         unfinished = set(self._tasks)
--- a/medlarhollow/entry/proxy.py
+++ b/medlarhollow/entry/proxy.py
@@ -2,10 +2,10 @@
 
 import asyncio
 import logging
-import time
 
 from result import Ok
 
+from .. import clock
 from ..errors import fail
 from ..messages.records import ErrorKind
 from .admission import admit
@@ -48,7 +48,7 @@
         with telemetry.request_span(
             "entry.request", caller.headers, path=caller.path
         ) as span:
-            now = time.monotonic()
+            now = clock.monotonic()
             admitted = admit(self._vm, caller, now)
             progress = RequestProgress()
             if admitted.is_err():
@@ -66,7 +66,7 @@
             admitted.ok_value.request_id,
             progress.trace,
             now,
-            time.monotonic(),
+            clock.monotonic(),
             slot_request,
         )
         telemetry.count_request(
@@ -74,7 +74,7 @@
             slot_request.route.path_prefix,
             slot_request.account,
             outcome,
-            time.monotonic() - now,
+            clock.monotonic() - now,
         )
 
     async def _refuse_request(self, caller, failure, progress, started_at):
@@ -82,7 +82,7 @@
         outcome = await self._send_failure(caller, failure, progress)
         request_id = caller.headers.get(REQUEST_ID_HEADER, "")
         self._vm.request_log.record_request(
-            outcome, request_id, progress.trace, started_at, time.monotonic()
+            outcome, request_id, progress.trace, started_at, clock.monotonic()
         )
 
     async def _serve_until_disconnect(self, caller, admission, progress):
@@ -109,14 +109,14 @@
         slot_request = admission.slot_request
         vm.retry_budget.count_request(slot_request.route.service)
         if self._is_limited(slot_request.account) and not admission.forwarded:
-            wait_started_at = time.monotonic()
+            wait_started_at = clock.monotonic()
             with vm.telemetry.span("entry.token"):
                 token = await vm.wait_in_queue(
                     vm.limiter.admit(
                         slot_request.account, slot_request.deadline_at
                     )
                 )
-            progress.trace.token_wait_s = time.monotonic() - wait_started_at
+            progress.trace.token_wait_s = clock.monotonic() - wait_started_at
             if token.is_err():
                 vm.telemetry.count_refused(slot_request.account)
                 return await self._send_failure(
--- a/medlarhollow/entry/registry.py
+++ b/medlarhollow/entry/registry.py
@@ -1,10 +1,9 @@
 """Fleet-wide registry of backend servers, and look-ups of entry VMs."""
 
-import time
-
 import attrs
 from result import Ok
 
+from .. import clock
 from ..errors import fail
 from ..membership import apply_announcement
 from ..membership import check_open_announcement
@@ -63,7 +62,7 @@
     list of Vm
         Available VMs near the caller.
     """
-    now = time.monotonic()
+    now = clock.monotonic()
     return list_nearest_entry_vms(
         vm.state_cache.state,
         region,
--- a/medlarhollow/entry/responses.py
+++ b/medlarhollow/entry/responses.py
@@ -3,11 +3,11 @@
 import heapq
 import json
 import random
-import time
 
 import attrs
 from starlette.responses import JSONResponse
 
+from .. import clock
 from ..errors import response_of
 from ..messages.records import ErrorKind
 from ..messages.records import VmState
@@ -156,7 +156,7 @@
     list of Vm
         Live VMs in service, without this VM while it drains.
     """
-    now = time.monotonic()
+    now = clock.monotonic()
     state = vm.state_cache.state
     if count is None:
         count = len(state.vms)
--- a/medlarhollow/entry/slot.py
+++ b/medlarhollow/entry/slot.py
@@ -1,7 +1,6 @@
 """Slot of a backend server, held for one attempt."""
 
-import time
-
+from .. import clock
 from ..requests import Answered
 from ..requests import NotSent
 from ..requests import Refused
@@ -37,7 +36,7 @@
         self._vm = vm
         self._route = route
         self._assignment = assignment
-        self._selected_at = self._started_at = time.monotonic()
+        self._selected_at = self._started_at = clock.monotonic()
         self._result = AttemptResult.CANCELLED
         self._latency_s = None
 
@@ -80,11 +79,11 @@
 
     def start_timer(self):
         """Start the latency timer; a reserved slot may have been idle."""
-        self._started_at = time.monotonic()
+        self._started_at = clock.monotonic()
 
     def record_outcome(self, outcome):
         """Record the outcome, known from the response head or its absence."""
-        self._latency_s = time.monotonic() - self._started_at
+        self._latency_s = clock.monotonic() - self._started_at
         self._result = _RESULTS.get(type(outcome), AttemptResult.OK)
         if isinstance(outcome, Refused) and not self.remote:
             self._result = AttemptResult.REFUSED
@@ -97,7 +96,7 @@
 
     def release(self):
         """Release the slot and report the result."""
-        now = time.monotonic()
+        now = clock.monotonic()
         latency_s = self._latency_s
         if latency_s is None:
             latency_s = now - self._started_at
--- a/medlarhollow/entry/tests/test_endless_responses.py
+++ b/medlarhollow/entry/tests/test_endless_responses.py
@@ -1,10 +1,11 @@
 """Tests of backend servers that send data without end."""
 
 import asyncio
-import time
 
 import pytest
 
+from medlarhollow import clock
+
 from .fakes import EntryHarness
 from .fakes import eventually
 from .fakes import FakeBackend
@@ -58,12 +59,12 @@
     endless = FakeBackend(send_without_end(*case))
     entry = make_entry()
     async with entry.run(endless, FakeBackend(respond(b"second"))):
-        started_at = time.monotonic()
+        started_at = clock.monotonic()
         async with asyncio.timeout(ROUTE_TIMEOUT_S + MARGIN_S):
             status, _, body = await entry.call("/short", key=False)
         assert (status, body) in [(200, b"second")] or status in (502, 504)
         await eventually(lambda: endless.closed, MARGIN_S)
-    assert time.monotonic() - started_at < ROUTE_TIMEOUT_S + 2 * MARGIN_S
+    assert clock.monotonic() - started_at < ROUTE_TIMEOUT_S + 2 * MARGIN_S
 
 
 @pytest.mark.parametrize("case", BODIES.values(), ids=BODIES)
@@ -127,10 +128,10 @@
     entry = make_entry()
     async with entry.run(endless, FakeBackend(respond(b"second"))):
         for _ in range(3):
-            started_at = time.monotonic()
+            started_at = clock.monotonic()
             status, _, body = await entry.call("/short", key=False)
             assert (status, body) == (200, b"second") or status == 503
-            assert time.monotonic() - started_at < ROUTE_TIMEOUT_S + MARGIN_S
+            assert clock.monotonic() - started_at < ROUTE_TIMEOUT_S + MARGIN_S
         await eventually(lambda: endless.closed, MARGIN_S)
 
 
--- a/medlarhollow/entry/tests/test_streams.py
+++ b/medlarhollow/entry/tests/test_streams.py
@@ -2,10 +2,11 @@
 
 import asyncio
 import json
-import time
 
 import pytest
 
+from medlarhollow import clock
+
 from .fakes import EntryHarness
 from .fakes import eventually
 from .fakes import FakeBackend
@@ -148,9 +149,9 @@
         entry.dispatcher.gate.clear()
         queued_calls = [asyncio.create_task(entry.call()) for _ in range(2)]
         await eventually(lambda: entry.vm.queued == 2)
-        started = time.monotonic()
+        started = clock.monotonic()
         status, headers, _ = await entry.call()
         assert (status, headers["x-medlarhollow-outcome"]) == (503, "not-run")
-        assert time.monotonic() - started < 1.0
+        assert clock.monotonic() - started < 1.0
         entry.dispatcher.gate.set()
         assert [(await task)[0] for task in queued_calls] == [200, 200]
--- a/medlarhollow/limits/allocator_client.py
+++ b/medlarhollow/limits/allocator_client.py
@@ -3,10 +3,10 @@
 import asyncio
 import functools
 import logging
-import time
 
 import attrs
 
+from .. import clock
 from .sources import list_sources
 from .token_stream import TokenStream
 
@@ -144,9 +144,9 @@
             None if it timed out, failed or is not the allocator.
         """
         if source.vm == self._settings.vm.name and self._allocator:
-            response = self._allocator.acquire(request, time.monotonic())
+            response = self._allocator.acquire(request, clock.monotonic())
             return self._check_response(source, response)
-        started_at = time.monotonic()
+        started_at = clock.monotonic()
         timeout_s = _CALL_TIMEOUT_S
         if source.data_centre == self._settings.vm.data_centre:
             timeout_s = _LOCAL_CALL_TIMEOUT_S
@@ -215,7 +215,7 @@
 
     def _record_response(self, address, call):
         if not call.cancelled() and call.result() is not None:
-            self._last_response_at[address] = time.monotonic()
+            self._last_response_at[address] = clock.monotonic()
 
     def _await_late_response(self, source, call, elapsed_s, on_late_response):
         """Accept a response until the lease of its tokens expires."""
@@ -237,7 +237,7 @@
         if response.failure is None:
             self._failures.pop(source, None)
             return response
-        self._back_off(source, time.monotonic())
+        self._back_off(source, clock.monotonic())
         return None
 
     def _back_off(self, source, now):
@@ -249,7 +249,7 @@
 
     def _record_failure(self, source, started_at):
         """Back off from an allocator; drop a connection without responses."""
-        now = time.monotonic()
+        now = clock.monotonic()
         self._back_off(source, now)
         last_at = self._last_response_at.setdefault(source.address, started_at)
         if now - last_at > self._settings.peer.silence_timeout_s:
--- a/medlarhollow/limits/limiter.py
+++ b/medlarhollow/limits/limiter.py
@@ -6,11 +6,11 @@
 import functools
 import logging
 import math
-import time
 
 import attrs
 from result import Ok
 
+from .. import clock
 from ..errors import fail
 from ..messages.records import DemandSample
 from ..messages.records import ErrorKind
@@ -85,7 +85,7 @@
         )
         self._incarnation = incarnation
         self._queues = {}
-        self._demand_sampled_at = time.monotonic()
+        self._demand_sampled_at = clock.monotonic()
 
     async def run(self):
         """Settle batches until cancelled."""
@@ -94,7 +94,7 @@
             while True:
                 await asyncio.sleep(lease_s * _SETTLE_FRACTION)
                 await self._settle(lease_s * _RETURN_FRACTION)
-                self._client.close_idle(time.monotonic())
+                self._client.close_idle(clock.monotonic())
         finally:
             for queue in self._queues.values():
                 if queue.fetch_task is not None:
@@ -116,7 +116,7 @@
         result.Result
             ``Ok(None)`` or ``RATE_LIMITED``.
         """
-        now = time.monotonic()
+        now = clock.monotonic()
         queue = self._queues.get(account)
         if queue is None:
             queue = self._queues[account] = _AccountQueue(LeasedTokens(now))
@@ -206,7 +206,7 @@
         set_activity("tokens")
         while True:
             queue.late_response.clear()
-            now = time.monotonic()
+            now = clock.monotonic()
             sources = self._client.share_sources(account, now)
             local = [
                 source
@@ -230,7 +230,7 @@
                 # was requested, may have tokens for newer requests.
                 waits_s.append(queue.remote_call_at + _REMOTE_INTERVAL_S - now)
             elif waits_s and self._client.has_complete_view():
-                self._record_exhaustion(queue, min(waits_s), time.monotonic())
+                self._record_exhaustion(queue, min(waits_s), clock.monotonic())
                 if not queue.waiters:
                     return
             wait_s = min(waits_s, default=_MAX_WAIT_S)
@@ -247,8 +247,8 @@
         what was spent, so that a small burst refills while the others wait.
         """
         while True:
-            tokens = queue.tokens.deficit(len(queue.waiters), time.monotonic())
-            response = await self._acquire(account, queue, source, tokens)
+            need = queue.tokens.deficit(len(queue.waiters), clock.monotonic())
+            response = await self._acquire(account, queue, source, need)
             if response is None:
                 return None
             if not response.tokens or not queue.waiters:
@@ -256,7 +256,7 @@
 
     def _may_call_remote(self, queue):
         """Return whether remote data centres may be called again."""
-        return time.monotonic() - queue.remote_call_at >= _REMOTE_INTERVAL_S
+        return clock.monotonic() - queue.remote_call_at >= _REMOTE_INTERVAL_S
 
     async def _acquire_remote(self, account, queue, sources):
         """Acquire tokens from remote data centres for waiting requests.
@@ -264,7 +264,7 @@
         All are called before a request is rejected, since any of them may
         have tokens. Returns the retry waits of those that responded.
         """
-        now = time.monotonic()
+        now = clock.monotonic()
         if not queue.waiters:
             return []
         queue.remote_call_at = now
@@ -305,7 +305,7 @@
 
     async def _acquire(self, account, queue, source, tokens):
         """Call one allocator, admit waiters; return the response or None."""
-        called_at = time.monotonic()
+        called_at = clock.monotonic()
         response = await self._client.acquire(
             source,
             TokenRequest(
@@ -336,14 +336,14 @@
         while queue.waiters:
             if queue.waiters[0].future.done():
                 queue.waiters.popleft()
-            elif queue.tokens.spend(time.monotonic()):
+            elif queue.tokens.spend(clock.monotonic()):
                 queue.waiters.popleft().future.set_result(True)
             else:
                 return
 
     async def _settle(self, lead_s):
         """Report spending and return tokens that expire within `lead_s`."""
-        now = time.monotonic()
+        now = clock.monotonic()
         sources = {
             (source.data_centre, source.epoch): source
             for source in self._client.sources(now)
@@ -358,7 +358,7 @@
         await asyncio.gather(*calls)
 
     async def _settle_one(self, account, queue, source, lead_s):
-        now = time.monotonic()
+        now = clock.monotonic()
         batches = queue.tokens.collect_reports(
             source.data_centre, source.epoch, now, lead_s
         )
--- a/medlarhollow/limits/tests/test_allocator_choice.py
+++ b/medlarhollow/limits/tests/test_allocator_choice.py
@@ -1,9 +1,8 @@
 """Tests of which allocators are called for the tokens of an account."""
 
-import time
-
 import pytest
 
+from medlarhollow import clock
 from medlarhollow.limits import Limiter
 from medlarhollow.limits.allocator_client import AllocatorClient
 from medlarhollow.messages.records import TokenResponse
@@ -58,13 +57,13 @@
     limiter = make_limiter(holder, DATA_CENTRES)
     for _ in range(3):
         limiter._queues.clear()
-        admitted = await limiter.admit("crew", time.monotonic() + 1.0)
+        admitted = await limiter.admit("crew", clock.monotonic() + 1.0)
         assert admitted.is_ok()
 
 
 async def test_only_data_centres_with_a_share_are_called():
     limiter = make_limiter(DATA_CENTRES[5], DATA_CENTRES[4:6])
-    admitted = await limiter.admit("crew", time.monotonic() + 1.0)
+    admitted = await limiter.admit("crew", clock.monotonic() + 1.0)
     assert admitted.is_ok()
     assert set(limiter._client.called) <= set(DATA_CENTRES[4:6])
 
@@ -73,14 +72,14 @@
     """Guards against withholding tokens from other VMs: unspent tokens are
     missing elsewhere until they are returned."""
     limiter = make_limiter(None, DATA_CENTRES[3:])
-    admitted = await limiter.admit("crew", time.monotonic() + 1.0)
+    admitted = await limiter.admit("crew", clock.monotonic() + 1.0)
     assert admitted.is_ok()
     assert len(limiter._client.called) == 1
 
 
 async def test_account_without_tokens_is_rejected_after_all_were_called():
     limiter = make_limiter("", DATA_CENTRES)
-    admitted = await limiter.admit("crew", time.monotonic() + 1.0)
+    admitted = await limiter.admit("crew", clock.monotonic() + 1.0)
     assert admitted.is_err()
     assert set(limiter._client.called) == set(DATA_CENTRES)
 
@@ -90,5 +89,5 @@
     with its tokens was called a moment ago."""
     limiter = make_limiter(DATA_CENTRES[5], DATA_CENTRES)
     for _ in range(4):
-        admitted = await limiter.admit("crew", time.monotonic() + 1.0)
+        admitted = await limiter.admit("crew", clock.monotonic() + 1.0)
         assert admitted.is_ok()
--- a/medlarhollow/limits/tests/test_limiter.py
+++ b/medlarhollow/limits/tests/test_limiter.py
@@ -1,11 +1,11 @@
 """Tests of the limiter over real connections."""
 
 import asyncio
-import time
 
 import attrs
 import pytest
 
+from medlarhollow import clock
 from medlarhollow.limits import Limiter
 from medlarhollow.limits import ShareAllocator
 from medlarhollow.localfleet.ports import free_addresses
@@ -42,7 +42,7 @@
                     await self.respond(stream, request)
 
     async def respond(self, stream, request):
-        response = self.allocator.acquire(request, time.monotonic())
+        response = self.allocator.acquire(request, clock.monotonic())
         response = attrs.evolve(response, call_id=request.call_id)
         if self.lost_responses and response.tokens:
             self.lost_responses -= 1
@@ -101,9 +101,9 @@
                 name, self.directory, region, peer__listen=address
             )
             allocator = ShareAllocator(
-                settings, self.state_cache, f"{name}#1", time.monotonic()
+                settings, self.state_cache, f"{name}#1", clock.monotonic()
             )
-            allocator.share_epoch(time.monotonic())
+            allocator.share_epoch(clock.monotonic())
             self.services[name] = AllocatorService(allocator)
             server = PeerServer(settings, [self.services[name]])
             await server.start()
@@ -117,7 +117,7 @@
             await server.stop()
 
     def admit(self, account="crew", wait_s=5.0):
-        return self.limiter.admit(account, time.monotonic() + wait_s)
+        return self.limiter.admit(account, clock.monotonic() + wait_s)
 
     async def admit_many(self, count, account="crew"):
         results = await asyncio.gather(
@@ -154,9 +154,9 @@
     """Guards against spent tokens that stay outstanding until the lease
     expires: a burst of 1 would then allow only one token a second."""
     fleet = await make_fleet(("north-a", 20.0, 1.0))
-    started_at = time.monotonic()
+    started_at = clock.monotonic()
     assert await fleet.admit_many(10) == 10
-    assert time.monotonic() - started_at < 1.0
+    assert clock.monotonic() - started_at < 1.0
 
 
 async def test_spending_on_one_vm_soon_frees_the_burst_for_another(make_fleet):
@@ -166,9 +166,9 @@
     settings = make_settings("other", fleet.directory)
     other = Limiter(settings, fleet.state_cache, fleet.channels)
     assert (await fleet.admit()).is_ok()
-    started_at = time.monotonic()
+    started_at = clock.monotonic()
     assert (await other.admit("crew", started_at + 5)).is_ok()
-    assert time.monotonic() - started_at < 0.7
+    assert clock.monotonic() - started_at < 0.7
 
 
 async def test_requests_above_the_rate_are_rejected_after_the_wait_limit(
@@ -177,21 +177,21 @@
     """Guards against rejections before or long after the wait limit."""
     fleet = await make_fleet(("north-a", 10.0, 5.0))
     await asyncio.sleep(0.5)
-    started_at = time.monotonic()
+    started_at = clock.monotonic()
     admitted = await fleet.admit_many(60)
-    elapsed_s = time.monotonic() - started_at
+    elapsed_s = clock.monotonic() - started_at
     assert 10 <= admitted <= 5 + 10 * elapsed_s + 1
     assert 0.9 <= elapsed_s < 1.5
-    [sample] = fleet.limiter.pop_demand_samples(time.monotonic())
+    [sample] = fleet.limiter.pop_demand_samples(clock.monotonic())
     assert sample.rate_per_s > sample.unmet_per_s > 0
 
 
 async def test_a_deadline_before_the_wait_limit_is_observed(make_fleet):
     """Guards against requests that wait past the caller's deadline."""
     fleet = await make_fleet()
-    started_at = time.monotonic()
+    started_at = clock.monotonic()
     assert (await fleet.admit(wait_s=0.2)).is_err()
-    assert time.monotonic() - started_at < 0.5
+    assert clock.monotonic() - started_at < 0.5
 
 
 async def test_requests_are_admitted_in_order(make_fleet):
@@ -272,9 +272,9 @@
     await asyncio.sleep(0.3)
     slowest_s = 0.0
     for _ in range(10):
-        started_at = time.monotonic()
+        started_at = clock.monotonic()
         assert (await fleet.admit("clerks")).is_ok()
-        slowest_s = max(slowest_s, time.monotonic() - started_at)
+        slowest_s = max(slowest_s, clock.monotonic() - started_at)
     assert slowest_s < 0.25
     assert await flood < 20
 
@@ -305,18 +305,18 @@
     waits_s = []
 
     async def admit():
-        requested_at = time.monotonic()
+        requested_at = clock.monotonic()
         result = await fleet.admit()
-        waits_s.append(time.monotonic() - requested_at)
+        waits_s.append(clock.monotonic() - requested_at)
         return result.is_ok()
 
-    started_at = time.monotonic()
+    started_at = clock.monotonic()
     calls = []
     for _ in range(100):
         calls.append(asyncio.create_task(admit()))
         await asyncio.sleep(0.01)
     admitted = sum(await asyncio.gather(*calls))
-    elapsed_s = time.monotonic() - started_at
+    elapsed_s = clock.monotonic() - started_at
     # Half of the wait limit of 1 s; one round of calls takes some 10 ms.
     assert max(waits_s) < 0.5
     # Nearly all of both shares is used, and no more.
@@ -347,9 +347,9 @@
     waits_s = []
 
     async def admit():
-        requested_at = time.monotonic()
+        requested_at = clock.monotonic()
         await fleet.admit()
-        waits_s.append(time.monotonic() - requested_at)
+        waits_s.append(clock.monotonic() - requested_at)
 
     calls = []
     for _ in range(100):
--- a/medlarhollow/limits/tests/test_token_stream.py
+++ b/medlarhollow/limits/tests/test_token_stream.py
@@ -1,10 +1,10 @@
 """Tests of the token stream over real connections."""
 
 import asyncio
-import time
 
 import pytest
 
+from medlarhollow import clock
 from medlarhollow.limits import serve_tokens
 from medlarhollow.limits import token_stream
 from medlarhollow.limits.token_stream import TokenStream
@@ -75,7 +75,7 @@
         await self.server.start()
 
     async def submit(self, *accounts):
-        now = time.monotonic()
+        now = clock.monotonic()
         if self.stream is None or not self.stream.is_open:
             self.stream = TokenStream(
                 self.settings.peer, self.channels, self.address
@@ -119,7 +119,7 @@
 async def test_calls_end_with_the_connection_and_the_next_reconnects(pair):
     """Guards against calls that wait for an allocator that has ended."""
     await pair.submit("crew")
-    call = pair.stream.submit(TokenRequest("crew", 1), time.monotonic())
+    call = pair.stream.submit(TokenRequest("crew", 1), clock.monotonic())
     pair.channels.drop(pair.address)
     async with asyncio.timeout(2.0):
         assert await call is None
@@ -130,7 +130,7 @@
 async def test_cancelled_call_does_not_affect_others(pair):
     await pair.submit("crew")
     cancelled_call = pair.stream.submit(
-        TokenRequest("crew", 5), time.monotonic()
+        TokenRequest("crew", 5), clock.monotonic()
     )
     cancelled_call.cancel()
     [response] = await pair.submit("clerks")
@@ -141,7 +141,7 @@
 async def test_stream_is_idle_only_without_pending_calls(pair, monkeypatch):
     monkeypatch.setattr(token_stream, "STREAM_IDLE_S", 5.0)
     await pair.submit("crew")
-    now = time.monotonic()
+    now = clock.monotonic()
     assert not pair.stream.is_idle(now + 4.0)
     assert pair.stream.is_idle(now + 6.0)
     call = pair.stream.submit(TokenRequest("crew", 1), now)
--- a/medlarhollow/limits/token_stream.py
+++ b/medlarhollow/limits/token_stream.py
@@ -2,12 +2,12 @@
 
 import asyncio
 import logging
-import time
 
 import attrs
 from grpclib.exceptions import GRPCError
 from grpclib.exceptions import StreamTerminatedError
 
+from .. import clock
 from ..messages.records import TokenRequests
 from ..messages.records import TokenResponses
 from ..messages.services import FleetStub
@@ -180,5 +180,5 @@
     if request.traceparent:
         headers["traceparent"] = request.traceparent
     with telemetry.span("allocator.tokens", headers):
-        response = allocator.acquire(request, time.monotonic())
+        response = allocator.acquire(request, clock.monotonic())
     return attrs.evolve(response, call_id=request.call_id)
--- a/medlarhollow/localfleet/backend.py
+++ b/medlarhollow/localfleet/backend.py
@@ -11,7 +11,6 @@
 import contextlib
 import random
 import signal
-import time
 
 import aiohttp
 import attrs
@@ -21,6 +20,7 @@
 from starlette.routing import Route
 import uvicorn
 
+from .. import clock
 from ..transport import parse_address
 from .faults import Faults
 from .faults import LOAD_REPORTS
@@ -50,7 +50,7 @@
         self._faults = faults
         self._executions = collections.Counter()
         self._in_flight = 0
-        self._started_at = time.monotonic()
+        self._started_at = clock.monotonic()
 
     @property
     def in_flight(self):
@@ -83,7 +83,7 @@
         return JSONResponse(attrs.asdict(self._faults))
 
     async def _respond(self, request):
-        age_s = time.monotonic() - self._started_at
+        age_s = clock.monotonic() - self._started_at
         body = await request.body()
         if self._faults.is_silent(age_s):
             await asyncio.sleep(_SILENCE_S)
@@ -219,10 +219,10 @@
 
     The wait for requests in flight is limited to the drain time too.
     """
-    drain_ends_at = time.monotonic() + options.drain_s
+    drain_ends_at = clock.monotonic() + options.drain_s
     deadline = drain_ends_at + options.drain_s
     await asyncio.sleep(options.drain_s)
-    while backend.in_flight and time.monotonic() < deadline:
+    while backend.in_flight and clock.monotonic() < deadline:
         await asyncio.sleep(0.02)
 
 
--- a/medlarhollow/localfleet/quickstart.py
+++ b/medlarhollow/localfleet/quickstart.py
@@ -11,10 +11,10 @@
 import signal
 import sys
 import tempfile
-import time
 
 import aiohttp
 
+from .. import clock
 from ..cli.client import AdminClient
 from .fleet import LocalFleet
 from .walkthrough import make_steps
@@ -58,7 +58,7 @@
     out = out or _print
     failed = 0
     for name, step in steps:
-        step_started_at = time.monotonic()
+        step_started_at = clock.monotonic()
         try:
             remaining_s = started_at + RUN_LIMIT_S - step_started_at
             async with asyncio.timeout(remaining_s):
@@ -68,7 +68,7 @@
         except (AssertionError, aiohttp.ClientError, OSError) as error:
             message, status = str(error) or type(error).__name__, "FAILED"
         failed += status != "ok"
-        now = time.monotonic()
+        now = clock.monotonic()
         out(
             f"{now - started_at:6.1f} s  {status:6}  {name}: {message} "
             f"({now - step_started_at:.2f} s)"
@@ -137,7 +137,7 @@
         0 if all steps passed and all processes stopped gracefully, 1 if not,
         130 if the run was interrupted.
     """
-    started_at = time.monotonic()
+    started_at = clock.monotonic()
     interrupts = _InterruptHandler()
     interrupts.install()
     with tempfile.TemporaryDirectory(prefix="medlarhollow-") as folder:
@@ -165,7 +165,7 @@
             return 130
         finally:
             fleet.kill()
-    elapsed_s = time.monotonic() - started_at
+    elapsed_s = clock.monotonic() - started_at
     unclean = {name: code for name, code in codes.items() if code != 0}
     status = "FAILED" if unclean else "ok"
     message = f"{len(codes)} processes" if not unclean else str(unclean)
--- a/medlarhollow/localfleet/tests/test_quickstart.py
+++ b/medlarhollow/localfleet/tests/test_quickstart.py
@@ -10,6 +10,7 @@
 
 import pytest
 
+from medlarhollow import clock
 from medlarhollow.localfleet import quickstart
 from medlarhollow.localfleet.quickstart import run_steps
 
@@ -33,7 +34,7 @@
     the steps after it."""
     lines = []
     steps = [("first", _pass), ("second", _fail), ("third", _pass)]
-    failed = await run_steps(steps, time.monotonic(), lines.append)
+    failed = await run_steps(steps, clock.monotonic(), lines.append)
     assert failed == 1
     statuses = [line.split()[2] for line in lines]
     assert statuses == ["ok", "FAILED", "ok"]
@@ -45,7 +46,7 @@
     monkeypatch.setattr(quickstart, "RUN_LIMIT_S", 0.2)
     lines = []
     steps = [("hangs", _hang), ("late", _hang)]
-    failed = await run_steps(steps, time.monotonic(), lines.append)
+    failed = await run_steps(steps, clock.monotonic(), lines.append)
     assert failed == 2
     assert all("took too long" in line for line in lines)
 
@@ -72,10 +73,10 @@
         stderr=subprocess.DEVNULL,
     )
     try:
-        deadline = time.monotonic() + LIMIT_S
+        deadline = clock.monotonic() + LIMIT_S
         children = []
         # Three control replicas, four entry VMs and four backend servers.
-        while len(children) < 11 and time.monotonic() < deadline:
+        while len(children) < 11 and clock.monotonic() < deadline:
             time.sleep(0.1)
             children = _children(process.pid)
         assert len(children) == 11
--- a/medlarhollow/localfleet/walkthrough.py
+++ b/medlarhollow/localfleet/walkthrough.py
@@ -7,6 +7,7 @@
 
 import aiohttp
 
+from .. import clock
 from ..configuration import generate_key
 
 __all__ = ["Walkthrough", "make_steps"]
@@ -157,7 +158,7 @@
     async def revoke_key(self):
         """Revoke a key and measure the time until all entry VMs reject it."""
         key_id = self._keys["crews"].split("_")[1]
-        started_at = time.monotonic()
+        started_at = clock.monotonic()
         _unwrap(await self._admin.change("DELETE", f"/v1/keys/{key_id}"))
 
         async def check():
@@ -166,7 +167,7 @@
                 assert status == 401, f"{address} still responds with {status}"
 
         await eventually(check)
-        elapsed_s = time.monotonic() - started_at
+        elapsed_s = clock.monotonic() - started_at
         assert elapsed_s < 4.0, f"took {elapsed_s:.2f} s"
         return (
             f"rejected by all entry VMs {elapsed_s:.2f} s after its revocation"
@@ -284,7 +285,7 @@
     AssertionError, aiohttp.ClientError, OSError, TimeoutError
         The last failure of the check.
     """
-    deadline = time.monotonic() + limit_s
+    deadline = clock.monotonic() + limit_s
     while True:
         try:
             return await check()
@@ -297,7 +298,7 @@
             is_permanent = error.args and isinstance(
                 error.args[0], _PermanentError
             )
-            if is_permanent or time.monotonic() > deadline:
+            if is_permanent or clock.monotonic() > deadline:
                 raise
         await asyncio.sleep(_POLL_INTERVAL_S)
 
--- a/medlarhollow/membership/directory.py
+++ b/medlarhollow/membership/directory.py
@@ -7,8 +7,8 @@
 
 from .addresses import AddressIndex
 from .changes import ServerChangeLog
-from .lease import is_overdue
 from .lease import Lease
+from .lease import overdue_servers
 from .lease import pool_key
 from .lease import ServerView
 from .order import has_left
@@ -301,9 +301,9 @@
                 self._merge_record(server, name, now)
         self._changes.flush(name)
 
-    def is_overdue(self, lease, now):
-        """Return whether the announcements of a server are overdue."""
-        return is_overdue(lease, self._settings.lease_s, now)
+    def list_overdue(self, leases, now):
+        """Return the identifiers of servers whose renewals are overdue."""
+        return overdue_servers(leases, self._settings.lease_s, now)
 
     def is_owned_elsewhere(self, server_id):
         """Return whether another VM owns the lease of a server."""
--- a/medlarhollow/membership/exchange.py
+++ b/medlarhollow/membership/exchange.py
@@ -2,12 +2,12 @@
 
 import asyncio
 import logging
-import time
 
 import attrs
 from grpclib.exceptions import GRPCError
 from grpclib.exceptions import StreamTerminatedError
 
+from .. import clock
 from ..messages.services import FleetStub
 from .updates import OutgoingUpdates
 
@@ -203,7 +203,7 @@
         silence_s = self._settings.peer.silence_timeout_s
         while True:
             wake_event.clear()
-            now = time.monotonic()
+            now = clock.monotonic()
             load = self._local_load(now)
             if not routes_requests:
                 load = attrs.evolve(load, in_flight={}, in_demand=frozenset())
@@ -241,7 +241,7 @@
                 last_sequence = update.sequence
                 vm = update.vm
                 name = vm.name
-                self._directory.merge(update, time.monotonic())
+                self._directory.merge(update, clock.monotonic())
                 if incoming:
                     self._incoming[name] = token
                     continue
--- a/medlarhollow/membership/lease.py
+++ b/medlarhollow/membership/lease.py
@@ -4,7 +4,13 @@
 
 import attrs
 
-__all__ = ["Lease", "ServerView", "is_overdue", "pool_key"]
+__all__ = [
+    "Lease",
+    "ServerView",
+    "is_overdue",
+    "overdue_servers",
+    "pool_key",
+]
 
 
 @attrs.frozen
@@ -97,7 +103,23 @@
     now : float
         Monotonic time in seconds.
     """
-    return now >= lease.expires_at - lease_s / 2
+    return lease.expires_at <= now + lease_s / 2
+
+
+def overdue_servers(leases, lease_s, now):
+    """Return the servers of the leases for which :func:`is_overdue` holds.
+
+    A registry needs them for each message, so no call is made for each.
+
+    Returns
+    -------
+    tuple of str
+        Identifiers of the servers.
+    """
+    limit = now + lease_s / 2
+    return tuple(
+        lease.server.server_id for lease in leases if lease.expires_at <= limit
+    )
 
 
 def pool_key(server):
--- a/medlarhollow/membership/tests/test_exchange.py
+++ b/medlarhollow/membership/tests/test_exchange.py
@@ -1,11 +1,11 @@
 """Exchange streams between VMs."""
 
 import asyncio
-import time
 
 import attrs
 import pytest
 
+from medlarhollow import clock
 from medlarhollow.limits.tests.support import FakeStateCache
 from medlarhollow.limits.tests.support import make_settings
 from medlarhollow.limits.tests.support import make_state
@@ -112,14 +112,14 @@
         await self.server.stop()
 
     def announce(self, **more):
-        self.directory.announce(make_server(**more), time.monotonic())
+        self.directory.announce(make_server(**more), clock.monotonic())
 
     def usable(self):
-        servers = self.directory.servers("plots", "1", time.monotonic())
+        servers = self.directory.servers("plots", "1", clock.monotonic())
         return [server.server_id for server in servers]
 
     def has_live_peers(self, *names):
-        live = self.directory.peers.live(time.monotonic())
+        live = self.directory.peers.live(clock.monotonic())
         return set(live) == set(names)
 
 
@@ -166,7 +166,7 @@
         lambda: all(set(member.usable()) == {"s1", "s2"} for member in members)
     )
     await eventually(
-        lambda: a.directory.peers.in_flight("s1", time.monotonic()) == 3
+        lambda: a.directory.peers.in_flight("s1", clock.monotonic()) == 3
     )
 
 
@@ -181,10 +181,10 @@
     peer = b.directory.peers._peers["a"]
     last_received_at = peer.last_received_at
     await eventually(lambda: peer.last_received_at > last_received_at)
-    started_at = time.monotonic()
+    started_at = clock.monotonic()
     a.announce(leaving=True)
     await eventually(lambda: b.usable() == [])
-    assert time.monotonic() - started_at < 0.5
+    assert clock.monotonic() - started_at < 0.5
 
 
 async def test_announcements_in_quick_succession_share_messages(make_members):
@@ -317,7 +317,7 @@
             await member.start()
         await eventually(lambda: registry.has_live_peers("entry-1", "entry-2"))
         await eventually(lambda: second.has_live_peers("entry-1", "registry"))
-        now = time.monotonic()
+        now = clock.monotonic()
         assert second.directory.peers.in_flight("s1", now) == 2
         assert registry.directory.peers.in_flight("s1", now) == 0
     finally:
--- a/medlarhollow/membership/updates.py
+++ b/medlarhollow/membership/updates.py
@@ -106,11 +106,7 @@
             ),
             removed=removed,
             released=released,
-            overdue=tuple(
-                lease.server.server_id
-                for lease in owned
-                if directory.is_overdue(lease, now)
-            ),
+            overdue=directory.list_overdue(owned, now),
         )
 
     def _needs_resend(self, lease):
--- a/medlarhollow/moves/selector.py
+++ b/medlarhollow/moves/selector.py
@@ -3,6 +3,7 @@
 import logging
 import time
 
+from .. import clock
 from ..messages.records import MoveState
 from ..messages.records import VersionSample
 from .regression import RegressionDetector
@@ -43,7 +44,7 @@
         self._state_cache = state_cache
         self._counter = SampleCounter(settings)
         if unix_offset_s is None:
-            unix_offset_s = time.time() - time.monotonic()
+            unix_offset_s = time.time() - clock.monotonic()
         self._unix_offset_s = unix_offset_s
         self._moves_revision = None
         self._moves = {}
--- a/medlarhollow/steering/assignment.py
+++ b/medlarhollow/steering/assignment.py
@@ -7,7 +7,12 @@
 from ..messages.records import BackendServer
 from ..messages.records import Route
 
-__all__ = ["Assignment", "AttemptResult", "SlotRequest"]
+__all__ = [
+    "Assignment",
+    "AttemptResult",
+    "SlotRequest",
+    "assign_candidate",
+]
 
 
 class AttemptResult(enum.Enum):
@@ -88,3 +93,26 @@
     wait_s: float = 0.0
     is_cold: bool = False
     record_age_s: float = 0.0
+
+
+def assign_candidate(candidate, version, wait_s, now):
+    """Return the assignment of a candidate that was selected.
+
+    Parameters
+    ----------
+    candidate : Candidate
+        The server.
+    version : str
+        Version of the service.
+    wait_s : float
+        Seconds that the request waited for the slot.
+    now : float
+        Monotonic time in seconds.
+    """
+    return Assignment(
+        candidate.view.server,
+        version,
+        wait_s=wait_s,
+        is_cold=candidate.is_cold,
+        record_age_s=now - candidate.view.load_at,
+    )
--- a/medlarhollow/steering/cold_servers.py
+++ b/medlarhollow/steering/cold_servers.py
@@ -11,8 +11,8 @@
 
 __all__ = ["ColdServerPacer"]
 
-# A second, and the time by which one request may reach the server faster than
-# another of the same sender.
+# Time over which a sender spreads its requests of one second. The excess
+# covers the difference between the delays of two requests on their way.
 _WINDOW_S = 1.2
 
 
@@ -60,7 +60,7 @@
             for evacuation in ended - self._ended_evacuations
             if state.time_s - evacuation.ended_at_s <= self._lease_s
         }
-        for data_centre in self._evacuated - evacuated | missed:
+        for data_centre in (self._evacuated - evacuated) | missed:
             self._evacuation_ended_at[data_centre] = now
         self._evacuated = evacuated
         self._ended_evacuations = ended
--- a/medlarhollow/steering/dispatcher.py
+++ b/medlarhollow/steering/dispatcher.py
@@ -4,15 +4,16 @@
 import logging
 import math
 import random
-import time
 
 from result import Ok
 
+from .. import clock
 from ..errors import fail
 from ..messages.records import BackendServer
 from ..messages.records import CreditResponse
 from ..messages.records import ErrorKind
 from ..moves import VersionSelector
+from .assignment import assign_candidate
 from .assignment import Assignment
 from .assignment import AttemptResult
 from .local_load import LocalLoadSampler
@@ -76,7 +77,7 @@
         try:
             while True:
                 await asyncio.sleep(_POLL_INTERVAL_S)
-                now = time.monotonic()
+                now = clock.monotonic()
                 self._dispatch_all()
                 for pool in self._pools.list():
                     self._request_credit(pool, now)
@@ -99,7 +100,7 @@
             ``Ok`` with an `Assignment`, or ``NO_BACKEND``, ``OVERLOADED`` or
             ``DEADLINE_EXCEEDED``. Each assignment must be released.
         """
-        now = time.monotonic()
+        now = clock.monotonic()
         if request.route.service not in self._state_cache.state.services:
             return fail(
                 ErrorKind.NO_BACKEND, f"no service '{request.route.service}'"
@@ -254,16 +255,9 @@
         """Return a local slot, a slot on credit, or None."""
         chosen = self._placement.choose(candidates, request, now)
         if chosen is not None:
-            view = chosen.view
-            self._slots.acquire(view, now)
+            self._slots.acquire(chosen.view, now)
             pool.in_flight += 1
-            return Assignment(
-                view.server,
-                pool.version,
-                wait_s=wait_s,
-                is_cold=chosen.is_cold,
-                record_age_s=now - view.load_at,
-            )
+            return assign_candidate(chosen, pool.version, wait_s, now)
         if request.local_only or self._is_fleet_wide:
             return None
         return self._spend_credit(pool, request, now)
@@ -314,7 +308,7 @@
         except TimeoutError:
             if _has_result(future):
                 return future.result()
-            if not self._has_server(pool, request, time.monotonic()):
+            if not self._has_server(pool, request, clock.monotonic()):
                 return pool.no_backend()
             if wait_until < request.deadline_at:
                 return pool.deadline_unreachable()
@@ -329,17 +323,17 @@
                     future.result().ok_value,
                     AttemptResult.CANCELLED,
                     0.0,
-                    time.monotonic(),
+                    clock.monotonic(),
                 )
             raise
         finally:
             pool.remove(ticket)
             if not _has_result(future):
                 # This request may have blocked others in the queue.
-                self._dispatch_waiting(pool, time.monotonic())
+                self._dispatch_waiting(pool, clock.monotonic())
 
     def _dispatch_all(self):
-        now = time.monotonic()
+        now = clock.monotonic()
         for pool in self._pools.list():
             self._dispatch_waiting(pool, now)
 
@@ -380,7 +374,7 @@
             return
 
         def dispatch():
-            self._dispatch_waiting(pool, time.monotonic())
+            self._dispatch_waiting(pool, clock.monotonic())
 
         coro = self._spill.request_credit(pool.service, needed, now, dispatch)
         task = asyncio.create_task(coro)
@@ -392,7 +386,7 @@
         if not task.cancelled() and task.exception() is not None:
             _LOG.error("steering: credit request failed: %r", task.exception())
         else:
-            self._dispatch_waiting(pool, time.monotonic())
+            self._dispatch_waiting(pool, clock.monotonic())
 
     def _evict_unused(self, now):
         self._spill.remote_credit.evict_expired(now)
--- a/medlarhollow/steering/spill.py
+++ b/medlarhollow/steering/spill.py
@@ -4,11 +4,11 @@
 import functools
 import logging
 import math
-import time
 
 from grpclib.exceptions import GRPCError
 from grpclib.exceptions import StreamTerminatedError
 
+from .. import clock
 from ..membership.weights import RegionWeights
 from ..messages.records import CreditRequest
 from ..messages.records import CreditResponse
@@ -225,7 +225,7 @@
 
     async def _acquire_credit(self, service, needed_slots, vm):
         """Request credit from a VM, for at most the length of a lease."""
-        requested_at = time.monotonic()
+        requested_at = clock.monotonic()
         stub = FleetStub(self._channels.get(vm.peer_address))
         request = CreditRequest(
             service=service,
--- a/medlarhollow/steering/tests/conftest.py
+++ b/medlarhollow/steering/tests/conftest.py
@@ -1,10 +1,10 @@
 """Entry VMs with dispatchers that grant each other credit."""
 
 import asyncio
-import time
 
 import pytest
 
+from medlarhollow import clock
 from medlarhollow.limits.tests.support import FakeStateCache
 from medlarhollow.limits.tests.support import make_settings
 from medlarhollow.limits.tests.support import make_state
@@ -34,7 +34,7 @@
         self.request_count += 1
         if self.is_silent:
             await asyncio.sleep(60)
-        response = self.dispatcher.grant_credit(request, time.monotonic())
+        response = self.dispatcher.grant_credit(request, clock.monotonic())
         await asyncio.sleep(self.delay_s)
         await stream.send_message(response)
 
@@ -62,7 +62,7 @@
         )
         self.directory = Directory(self.settings)
         self.channels = Channels(self.settings)
-        state_cache = FakeStateCache(state, proof_at=time.monotonic())
+        state_cache = FakeStateCache(state, proof_at=clock.monotonic())
         self.dispatcher = Dispatcher(
             self.settings, state_cache, self.directory, self.channels
         )
@@ -90,7 +90,7 @@
                 slots=slots,
                 **options,
             )
-            self.directory.announce(server, time.monotonic())
+            self.directory.announce(server, clock.monotonic())
 
     async def acquire(self, wait_s=0.3, **options):
         result = await self.dispatcher.acquire(
@@ -103,7 +103,7 @@
     def release(self, assignment, result=AttemptResult.OK, latency_s=0.05):
         self.assignments.remove(assignment)
         self.dispatcher.release(
-            assignment, result, latency_s, time.monotonic()
+            assignment, result, latency_s, clock.monotonic()
         )
 
 
@@ -111,7 +111,7 @@
     values = {
         "route": Route(service="plots", priority=priority),
         "account": "crew",
-        "deadline_at": time.monotonic() + wait_s,
+        "deadline_at": clock.monotonic() + wait_s,
         "split_point": 0.9,
         **options,
     }
--- a/medlarhollow/steering/tests/test_dispatcher.py
+++ b/medlarhollow/steering/tests/test_dispatcher.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from medlarhollow import clock
 from medlarhollow.messages.records import BackendServer
 from medlarhollow.messages.records import ErrorKind
 from medlarhollow.messages.records import ExchangeUpdate
@@ -35,7 +36,7 @@
 
     await asyncio.gather(*(request() for _ in range(40)))
     assert highest == {"a": 3, "b": 3}
-    assert near.dispatcher.local_load(time.monotonic()).in_flight == {}
+    assert near.dispatcher.local_load(clock.monotonic()).in_flight == {}
 
 
 async def test_slots_used_by_other_vms_are_not_assigned(entry_vms):
@@ -47,7 +48,7 @@
         sequence=1,
         servers=(BackendServer(server_id="a", in_flight=3),),
     )
-    near.directory.merge(update, time.monotonic())
+    near.directory.merge(update, clock.monotonic())
     assert (await near.acquire(local_only=True)).is_ok()
     failure = (await near.acquire(local_only=True)).err_value
     assert failure.kind is ErrorKind.DEADLINE_EXCEEDED
@@ -86,7 +87,7 @@
         await asyncio.sleep(0.01)
         near.release(first)
     await asyncio.gather(waiting, return_exceptions=True)
-    assert near.dispatcher.local_load(time.monotonic()).in_flight == {}
+    assert near.dispatcher.local_load(clock.monotonic()).in_flight == {}
     assert (await near.acquire()).is_ok()
 
 
@@ -103,10 +104,10 @@
         for _ in range(3)
     ]
     await asyncio.sleep(0.02)
-    started_at = time.monotonic()
+    started_at = clock.monotonic()
     failure = (await near.acquire(1.0, local_only=True)).err_value
     assert failure.kind is ErrorKind.OVERLOADED
-    assert time.monotonic() - started_at < 0.2
+    assert clock.monotonic() - started_at < 0.2
     for task in waiting:
         task.cancel()
     await asyncio.gather(*waiting, return_exceptions=True)
@@ -143,12 +144,12 @@
     near, _ = entry_vms
     if excluded:
         near.announce("a")
-    started_at = time.monotonic()
+    started_at = clock.monotonic()
     failure = (
         await near.acquire(5.0, excluded=frozenset({"a"}), local_only=True)
     ).err_value
     assert failure.kind is ErrorKind.NO_BACKEND
-    assert time.monotonic() - started_at < 0.2
+    assert clock.monotonic() - started_at < 0.2
 
 
 async def test_leaving_server_gets_no_new_requests(entry_vms):
@@ -179,7 +180,7 @@
         deadline_s=time.time() + 3600,
     )
     state_of(near).revision += 1
-    near.dispatcher._state_cache.proof_at = time.monotonic()
+    near.dispatcher._state_cache.proof_at = clock.monotonic()
     assert (await near.acquire()).ok_value.version == "1"
     near.announce("n", version="2")
     assert (await near.acquire()).ok_value.version == "2"
--- a/medlarhollow/steering/tests/test_object_queueing.py
+++ b/medlarhollow/steering/tests/test_object_queueing.py
@@ -1,10 +1,10 @@
 """Queueing of requests for the servers of their objects."""
 
 import asyncio
-import time
 
 import pytest
 
+from medlarhollow import clock
 from medlarhollow.limits.tests.support import FakeStateCache
 from medlarhollow.limits.tests.support import make_settings
 from medlarhollow.limits.tests.support import make_state
@@ -114,9 +114,9 @@
     servers, so reporting others would waste slots."""
     waiting = await saturate(vm, "x")
     await asyncio.sleep(0)
-    load = vm.dispatcher.local_load(time.monotonic())
+    load = vm.dispatcher.local_load(clock.monotonic())
     assert load.in_demand == vm.servers_of("x")
     waiting.cancel()
     await asyncio.gather(waiting, return_exceptions=True)
     await asyncio.sleep(0.15)
-    assert vm.dispatcher.local_load(time.monotonic()).in_demand == set()
+    assert vm.dispatcher.local_load(clock.monotonic()).in_demand == set()
--- a/medlarhollow/steering/tests/test_request_cost.py
+++ b/medlarhollow/steering/tests/test_request_cost.py
@@ -1,10 +1,10 @@
 """Cost of a request on an entry VM, in small and large fleets."""
 
 import sys
-import time
 
 import pytest
 
+from medlarhollow import clock
 from medlarhollow.limits.tests.support import FakeStateCache
 from medlarhollow.limits.tests.support import make_settings
 from medlarhollow.limits.tests.support import make_state
@@ -112,7 +112,7 @@
 def make_fleet(monkeypatch):
     def make(*sizes, **options):
         fleet = Fleet(*sizes, **options)
-        monkeypatch.setattr(time, "monotonic", lambda: fleet.now)
+        monkeypatch.setattr(clock, "monotonic", lambda: fleet.now)
         return fleet
 
     return make
--- a/medlarhollow/steering/tests/test_spillover.py
+++ b/medlarhollow/steering/tests/test_spillover.py
@@ -1,10 +1,10 @@
 """Spillover of requests to other data centres on credit."""
 
 import asyncio
-import time
 
 import attrs
 
+from medlarhollow import clock
 from medlarhollow.messages.records import BackendServer
 from medlarhollow.messages.records import ErrorKind
 from medlarhollow.messages.records import ExchangeUpdate
@@ -107,6 +107,6 @@
         ExchangeUpdate(vm=Vm(name="mate", incarnation="1"), sequence=1),
         servers=(BackendServer(server_id="y", in_flight=2),),
     )
-    far.directory.merge(update, time.monotonic())
+    far.directory.merge(update, clock.monotonic())
     assert (await near.acquire(0.5)).is_err()
     assert far.service.request_count
--- a/medlarhollow/telemetry/tests/test_writer.py
+++ b/medlarhollow/telemetry/tests/test_writer.py
@@ -5,10 +5,10 @@
 import json
 import logging
 import os
-import time
 
 import pytest
 
+from medlarhollow import clock
 from medlarhollow.telemetry import LogRateLimiter
 from medlarhollow.telemetry.writer import BackgroundHandler
 from medlarhollow.telemetry.writer import LineWriter
@@ -47,12 +47,12 @@
 def test_full_pipe_drops_lines_without_blocking(full_pipe):
     """Guards against requests that wait until their log lines are read."""
     writer = LineWriter(full_pipe, LIMIT_BYTES)
-    started_at = time.monotonic()
+    started_at = clock.monotonic()
     for _ in range(1000):
         writer.write("y" * 100)
     # Much longer than a thousand lines take, much shorter than a blocked
     # write.
-    assert time.monotonic() - started_at < 1
+    assert clock.monotonic() - started_at < 1
     assert writer.dropped >= 1000 - 2 * LIMIT_BYTES // 100
 
 
@@ -60,9 +60,9 @@
     """Guards against a process that cannot exit while output is not read."""
     writer = LineWriter(full_pipe, LIMIT_BYTES)
     writer.write("y")
-    started_at = time.monotonic()
+    started_at = clock.monotonic()
     writer.close(limit_s=0.1)
-    assert time.monotonic() - started_at < 1
+    assert clock.monotonic() - started_at < 1
 
 
 def test_next_record_contains_dropped_lines():
--- a/medlarhollow/telemetry/writer.py
+++ b/medlarhollow/telemetry/writer.py
@@ -3,7 +3,8 @@
 import collections
 import logging
 import threading
-import time
+
+from .. import clock
 
 __all__ = ["BackgroundHandler", "LineWriter"]
 
@@ -72,10 +73,10 @@
 
     def flush(self, limit_s=_FLUSH_TIMEOUT_S):
         """Wait until all lines are written, for up to `limit_s` seconds."""
-        deadline = time.monotonic() + limit_s
+        deadline = clock.monotonic() + limit_s
         with self._lock:
             while self._lines or self._is_writing:
-                remaining_s = deadline - time.monotonic()
+                remaining_s = deadline - clock.monotonic()
                 if remaining_s <= 0 or not self._thread.is_alive():
                     return
                 self._idle.wait(remaining_s)
