--- a/medlarhollow/entry/slot.py
+++ b/medlarhollow/entry/slot.py
@@ -69,11 +69,12 @@
         """Return what the selection of the server relied on, for the log."""
         if self.remote:
             return "on credit"
-        state = "cold" if self._assignment.is_cold else "warm"
-        age_s = self._assignment.record_age_s
+        assignment = self._assignment
+        state = "cold" if assignment.is_cold else "warm"
         delay_ms = (self._started_at - self._selected_at) * 1000
         return (
-            f"{state}, announced {age_s:.2f} s before, "
+            f"{state}, record {assignment.record_age_s:.2f} s old, "
+            f"lease {assignment.lease_left_s:.2f} s left, "
             f"sent after {delay_ms:.1f} ms"
         )
 
--- a/medlarhollow/steering/assignment.py
+++ b/medlarhollow/steering/assignment.py
@@ -83,7 +83,10 @@
     is_cold : bool
         Whether the server was taken for cold.
     record_age_s : float
-        Seconds since the announcement on which the selection relies.
+        Age of the server's record in seconds. Announcements that change
+        nothing renew the lease only.
+    lease_left_s : float
+        Seconds until the lease ends at this VM.
     """
 
     server: BackendServer
@@ -93,6 +96,7 @@
     wait_s: float = 0.0
     is_cold: bool = False
     record_age_s: float = 0.0
+    lease_left_s: float = 0.0
 
 
 def assign_candidate(candidate, version, wait_s, now):
@@ -115,4 +119,5 @@
         wait_s=wait_s,
         is_cold=candidate.is_cold,
         record_age_s=now - candidate.view.load_at,
+        lease_left_s=candidate.view.expires_at - now,
     )
