Test that a lost connection causes no second execution

A request that must not be repeated, with PUT, DELETE or GET, was executed twice if the server closed the connection before its response, with a claim (/orders) and without (/post).

The platform's unsafe requests use POST.

--- a/medlarhollow/entry/tests/test_faults.py
+++ b/medlarhollow/entry/tests/test_faults.py
@@ -226,6 +226,21 @@
     assert len(backend.requests) == 1 + requests
 
 
+@pytest.mark.parametrize("method", ["PUT", "DELETE", "GET", "POST"])
+@pytest.mark.parametrize("path", ["/orders", "/post"])
+async def test_lost_connection_causes_no_second_execution(method, path):
+    """Guards invariant 10 against the HTTP client, which sends a request
+    again by itself when its new connection is closed without a response."""
+    backend = FakeBackend(close_after_head)
+    entry = EntryHarness()
+    async with entry.run(backend):
+        headers = {"idempotency-key": make_idempotency_key()}
+        status, headers, _ = await entry.call(path, method, headers=headers)
+    assert status == 502
+    assert headers["x-medlarhollow-outcome"] == "unknown"
+    assert len(backend.requests) == 1
+
+
 async def test_requests_after_a_lost_connection_use_new_ones():
     """Guards requests against the other idle connections to a server that
     dropped them."""
