Show a system that never starts after the loss of one core machine

Cause: only the seed with the lowest address begins a cluster, and only once all seeds report empty data folders.

--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -147,11 +147,21 @@
         for name in self.ips:
             self.start(name)
 
-    def start(self, name):
+    def replace_core(self, lost):
+        """Start an empty core machine at another address for a lost one."""
+        zone = self.zones[lost]
+        name = f"core-{zone}-2"
+        self.ips[name] = f"{self.base}.{len(self.ips) + 50}"
+        self.zones[name] = zone
+        self.cores = [name if core == lost else core for core in self.cores]
+        self.start(name, bootstrap=False)
+        return name
+
+    def start(self, name, bootstrap=True):
         """Start the process of a machine."""
         kind = name.partition("-")[0]
         settings = self.folder / f"{name}.toml"
-        settings.write_text(self._make_settings(name, kind))
+        settings.write_text(self._make_settings(name, kind, bootstrap))
         kept = ("PATH", "HOME", "LANG")
         environment = {
             key: os.environ[key] for key in kept if key in os.environ
@@ -190,7 +200,7 @@
                 process.kill()
             process.wait()
 
-    def _make_settings(self, name, kind):
+    def _make_settings(self, name, kind, bootstrap):
         zone = self.zones[name]
         serves = ["front"] if kind == "front" else ["control", "directory"]
         listen = {
@@ -210,7 +220,7 @@
             f'zone = "{zone}"',
             f'region = "{ZONES[zone]}"',
             f"lossCounts = {json.dumps(kind == 'core')}",
-            "bootstrap = true",
+            f"bootstrap = {json.dumps(bootstrap)}",
         ]
         if kind == "core":
             data_dir.mkdir(parents=True, exist_ok=True)
