--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,90 +1,62 @@
-"""Drain a server after a heartbeat with bytes that cannot be read."""
+"""Evacuate a zone again after its first evacuation was ended and confirmed."""
 
 import asyncio
+import signal
 
-import aiohttp
 import fleet as standins
 
-# Encodes half of a surrogate pair: no character, and no valid UTF-8.
-UNREADABLE = b"\xed\xa0\x80"
-
-
-async def send_unreadable(fleet, session, name):
-    """Send heartbeats of another writer to one machine, at the usual rate."""
-    body = (
-        b'{"service":"%b","address":"%b.99:9","zone":"ishikari-a",'
-        b'"version":"%b","slots":9,"state":"ready","coldRemaining":"0ms",'
-        b'"sequence":%d,"born":1700000000000}'
-    )
-    sequence = 0
-    while True:
-        sequence += 1
-        data = body % (
-            standins.SERVICE.encode(),
-            fleet.base.encode(),
-            UNREADABLE,
-            sequence,
-        )
-        address = fleet.address(name, "control")
-        url = f"http://{address}{standins.PREFIX}/Instances.Heartbeat/i-other"
-        status = None
-        try:
-            async with session.post(
-                url,
-                data=data,
-                headers={"Content-Type": "application/json"},
-                timeout=aiohttp.ClientTimeout(total=1.0),
-            ) as response:
-                status = response.status
-        except (aiohttp.ClientError, TimeoutError, OSError):
-            pass
-        fleet.record.say(f"other writer: heartbeat to {name} gets {status}")
-        await asyncio.sleep(standins.HEARTBEAT_S)
+ZONE = "ishikari-a"
 
 
 async def case(record, fleet, session, has_trouble):
-    """Return whether no request reached a server after its drain."""
+    """Return whether no request reached the evacuated zone."""
     zones = ["ishikari-a", "tokachi-a", "kushiro-a"] * 2
     parts = await standins.bring_up(fleet, session, zones, 60)
     if parts is None:
         return None
-    _, targets, clients = parts
-    await asyncio.sleep(5.0)
-    leaving = targets[0]
-    registry = leaving.acknowledged_by
-    record.say(f"server {leaving.server_id} reports to {registry}")
-    writer = None
+    operator, targets, clients = parts
+    await asyncio.sleep(3.0)
+    start, end = f"/Evacuations.Start/{ZONE}", f"/Evacuations.End/{ZONE}"
+    answer = await operator.send("POST", start)
+    if answer[0] != 200:
+        return None
+    await asyncio.sleep(4.0)
+
+    # The order to end it goes first to a machine that freezes.
+    frozen = fleet.cores[-1]
     if has_trouble:
-        writer = asyncio.create_task(send_unreadable(fleet, session, registry))
-    await asyncio.sleep(0.5)
-    served_from = standins.now()
-    await leaving.drain()
+        fleet.signal(frozen, signal.SIGSTOP)
+    answer = await operator.send("POST", end, first=frozen)
+    record.say(f"end of the evacuation gets {answer[0]} from {answer[2]}")
+    if answer[0] != 200:
+        return None
+    await asyncio.sleep(1.0)
+    others = [name for name in fleet.cores if name != frozen]
+    answer = await operator.send("POST", start, first=others[0])
+    record.say(f"second evacuation gets {answer[0]} from {answer[2]}")
+    if answer[0] != 200:
+        return None
     acknowledged_at = standins.now()
-    record.say(
-        f"draining of {leaving.server_id} acknowledged by "
-        f"{leaving.acknowledged_by}"
-    )
-    # It continues to serve for longer than `drain`, then exits.
-    await asyncio.sleep(10.0)
+    await asyncio.sleep(1.0)
+    if has_trouble:
+        fleet.signal(frozen, signal.SIGCONT)
+
+    # Nothing takes the zone back from here on.
+    await asyncio.sleep(14.0)
+    await clients.stop()
     late = [
-        run
-        for run in leaving.runs
-        if run[0] > acknowledged_at + standins.DRAIN_S
+        (at - acknowledged_at, request_id, target.server_id)
+        for target in targets
+        for at, request_id, _ in target.runs
+        if target.zone == ZONE and at > acknowledged_at + standins.EVACUATE_S
     ]
-    await leaving.stop()
-    if writer is not None:
-        await asyncio.sleep(5.0)
-        writer.cancel()
-    await clients.stop()
     standins.summarise(record, clients)
-    served, sent = clients.served_since(served_from)
-    record.say(f"served {served} of {sent} requests since the drain")
-    for at, request_id, _ in late[:5]:
+    for after_s, request_id, server_id in sorted(late)[:5]:
         record.say(
-            f"{request_id} reached {leaving.server_id} "
-            f"{at - acknowledged_at:.2f} s after the acknowledgement"
+            f"{request_id} reached {server_id} in {ZONE} {after_s:.2f} s "
+            "after the acknowledgement"
         )
-    record.say(f"{len(late)} requests reached the leaving server too late")
+    record.say(f"{len(late)} requests reached the evacuated zone")
     if fleet.find_ended():
         record.say(f"ended by themselves: {fleet.find_ended()}")
         return None
--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -558,7 +558,7 @@
         for task in self._running:
             task.cancel()
         if self._tasks:
-            await asyncio.wait(self._tasks, timeout=6.0)
+            await asyncio.wait(self._tasks, timeout=4.5)
 
     def served_since(self, since):
         """Return the numbers of served and of all requests sent later."""
@@ -682,8 +682,14 @@
     async def run():
         connector = aiohttp.TCPConnector(limit=0)
         async with aiohttp.ClientSession(connector=connector) as session:
-            async with asyncio.timeout(110.0):
-                return await case(record, fleet, session, has_trouble)
+            try:
+                async with asyncio.timeout(114.0):
+                    return await case(record, fleet, session, has_trouble)
+            finally:
+                tasks = asyncio.all_tasks() - {asyncio.current_task()}
+                for task in tasks:
+                    task.cancel()
+                await asyncio.gather(*tasks, return_exceptions=True)
 
     code = NOT_RUN
     try:
