Show an entry VM that hangs on an answer of endless interim heads

Cause: interim heads of a server are accepted without limit, and each one copies the rest of the read, so that one server's answer keeps the event loop busy for seconds.

--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,52 +1,79 @@
-"""Lose one core machine while the system starts for the first time."""
+"""Let one server spoil one answer with interim heads that never end."""
 
 import asyncio
-import json
-import signal
 
 import fleet as standins
 
-# After the start of all machines; an empty machine comes a second later.
-LOST_AT_S = 0.8
-REPLACED_AFTER_S = 1.0
+# `timeout` of the site's route for look-ups, and the bound after it.
+TIMEOUT_S = 1.2
+ANSWER_BOUND_S = 0.5
+# Requests without an answer, and their share, that break the rule.
+UNANSWERED = 8
+UNANSWERED_SHARE = 0.25
+INTERIM_HEAD = b"HTTP/1.1 103 Early Hints\r\n\r\n"
+HEADS_PER_WRITE = 2000
+
+
+class FaultyTarget(standins.Target):
+    """A server that spoils one answer once it is told to."""
+
+    def __init__(self, *arguments, **options):
+        super().__init__(*arguments, **options)
+        self.must_spoil = False
+
+    async def _answer(self, reader, writer, method, path, headers):
+        if not self.must_spoil or path == "/health":
+            await super()._answer(reader, writer, method, path, headers)
+            return
+        self.must_spoil = False
+        record = self.fleet.record
+        record.say(f"server {self.server_id} spoils one answer")
+        sent_bytes = 0
+        try:
+            while True:
+                writer.write(INTERIM_HEAD * HEADS_PER_WRITE)
+                await writer.drain()
+                sent_bytes += HEADS_PER_WRITE * len(INTERIM_HEAD)
+        except OSError:
+            record.say(f"caller closed after about {sent_bytes} bytes")
 
 
 async def case(record, fleet, session, has_trouble):
-    """Return whether the system served anything."""
-    fleet.start_all()
-    lost = fleet.cores[0]
-    if has_trouble:
-        await asyncio.sleep(LOST_AT_S)
-        fleet.signal(lost, signal.SIGKILL)
-        fleet.processes[lost].wait()
-        await asyncio.sleep(REPLACED_AFTER_S)
-        record.say(f"platform starts {fleet.replace_core(lost)}")
-    operator = standins.Operator(fleet, session)
-    body = json.dumps(standins.make_configuration("r2")).encode()
-    put = asyncio.create_task(
-        operator.send(
-            "POST", "/Config.Put", data=body, headers={"X-If-Version": "0"}
-        )
+    """Return whether requests are answered at their route's timeout."""
+    standins.Target = FaultyTarget
+    zones = ["ishikari-a", "tokachi-a", "kushiro-a"] * 2
+    parts = await standins.bring_up(
+        fleet, session, zones, 30, safe_timeout="1200ms"
     )
-    targets = [
-        standins.Target(fleet, session, number, zone)
-        for number, zone in enumerate(standins.ZONES)
-    ]
-    for target in targets:
-        await target.start()
-    clients = standins.Clients(fleet, session, 20)
-    clients.start()
-    await asyncio.wait({put}, timeout=60.0)
-    if put.done():
-        record.say(f"first configuration gets {put.result()[0]}")
-        await asyncio.sleep(10.0)
-    else:
-        record.say("first configuration has no answer after 60 s")
-    put.cancel()
+    if parts is None:
+        return None
+    _, targets, clients = parts
+    await asyncio.sleep(3.0)
+    judged_from = standins.now()
+    targets[0].must_spoil = has_trouble
+    await asyncio.sleep(20.0)
+    judged_until = standins.now()
     await clients.stop()
-    served, sent = clients.served_since(0.0)
-    record.say(f"served {served} of {sent} requests")
-    return served > 0
+    standins.summarise(record, clients)
+    lasted = [
+        lasted_s
+        for sent_at, lasted_s in clients.durations
+        if judged_from <= sent_at < judged_until and lasted_s > TIMEOUT_S
+    ]
+    late = [
+        lasted_s
+        for lasted_s in lasted
+        if lasted_s > TIMEOUT_S + ANSWER_BOUND_S
+    ]
+    record.say(
+        f"{len(lasted)} requests lasted longer than {TIMEOUT_S} s; "
+        f"{len(late)} had no answer {ANSWER_BOUND_S} s after that"
+    )
+    if fleet.find_ended():
+        record.say(f"ended by themselves: {fleet.find_ended()}")
+    return len(late) < UNANSWERED or len(late) <= UNANSWERED_SHARE * len(
+        lasted
+    )
 
 
 if __name__ == "__main__":
--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -544,6 +544,7 @@
         self._tasks = set()
         self._number = 0
         self.outcomes = []
+        self.durations = []
         self._running = None
 
     def start(self):
@@ -619,6 +620,7 @@
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             status = type(error).__name__
         self.outcomes.append((sent_at, status))
+        self.durations.append((sent_at, now() - sent_at))
         self._fleet.record.add(f"client gets {status} for {request_id}")
 
 
@@ -632,11 +634,14 @@
     return False
 
 
-async def bring_up(fleet, session, target_zones, rate_per_s):
+async def bring_up(
+    fleet, session, target_zones, rate_per_s, safe_timeout="4s"
+):
     """Start a deployment; return operator, targets and clients, or None."""
     fleet.start_all()
     operator = Operator(fleet, session)
-    if await operator.put_configuration(make_configuration("r2"), "0") != 200:
+    document = make_configuration("r2", safe_timeout)
+    if await operator.put_configuration(document, "0") != 200:
         return None
     targets = [
         Target(fleet, session, number, zone)
