Probe for free ports on a loopback address only

Cause: the stand-ins bound probes to all addresses, while every address of a case shall be a loopback address. Shows: review/lib/fleet.py; no check is changed.

--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -238,13 +238,13 @@
 
 
 def free_ports(count):
-    """Return ports on which nothing listens on any loopback address."""
+    """Return ports on which nothing listens at the first loopback address."""
     ports = []
     while len(ports) < count:
         port = random.randint(12_000, 31_000)
         with socket.socket() as probe:
             try:
-                probe.bind(("0.0.0.0", port))
+                probe.bind(("127.0.0.1", port))
             except OSError:
                 continue
         if port not in ports:
