Bound the framing of responses and the work of one turn

Heads are read in linear time; a response has at most 16 interim heads and 64 KiB of heads, a chunk line 4 KiB, trailers 16 KiB. Beyond that the connection is reset and the attempt fails, which is repeated only if it may be. Chunks are framed here too, so that a complete chunked response with bytes behind it in the same read is no longer lost. At most 16 KiB or 128 lines of one connection are parsed before others get their turn, and the buffer of a body is 16 KiB instead of 64 KiB.

--- a/medlarhollow/entry/backend_client.py
+++ b/medlarhollow/entry/backend_client.py
@@ -8,6 +8,7 @@
 from .. import clock
 from ..requests import NotSent
 from ..requests import Unanswered
+from .framing_limits import HEAD_LIMIT_BYTES
 from .response_connector import ResponseConnector
 
 __all__ = ["BackendClient", "TruncatedResponseError"]
@@ -19,7 +20,9 @@
     "Content-Type",
     "User-Agent",
 )
-_HEAD_LIMIT_BYTES = 65536
+# Buffer of a response body; reading pauses at twice this size, so that slow
+# callers of a thousand requests cost less memory than an entry VM has.
+_READ_BUFFER_BYTES = 16384
 _CONNECT_ERRORS = (
     aiohttp.ClientConnectorError,
     aiohttp.ConnectionTimeoutError,
@@ -198,8 +201,9 @@
             # Cookies belong to callers and must not be shared between them.
             cookie_jar=aiohttp.DummyCookieJar(),
             middlewares=(_send_once,),
-            max_line_size=_HEAD_LIMIT_BYTES,
-            max_field_size=_HEAD_LIMIT_BYTES,
+            max_line_size=HEAD_LIMIT_BYTES,
+            max_field_size=HEAD_LIMIT_BYTES,
+            read_bufsize=_READ_BUFFER_BYTES,
         )
 
 
--- a/medlarhollow/entry/response_connector.py
+++ b/medlarhollow/entry/response_connector.py
@@ -4,18 +4,29 @@
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
+from aiohttp.http_exceptions import HttpProcessingError
 
+from .framing_limits import FramingLimitError
 from .response_boundary import ResponseBoundary
 
 __all__ = ["ResponseConnector"]
 
+# Bytes and lines of one connection that are parsed before other connections
+# and timers get their turn. Parsing takes time for each chunk, which can be as
+# short as six bytes.
+_TURN_BYTES = 16384
+_TURN_LINES = 128
+
 
 class ResponseConnector(aiohttp.TCPConnector):
-    """Open connections that end a response where its length says.
+    """Open connections that end a response where its framing says.
 
     aiohttp parses all bytes of a read at once and discards a complete
     response if bytes after it are no response. Bytes after a response are
     discarded here instead, and the connection is not used again.
+
+    A connection on which framing without end arrives is reset: it never fills
+    the buffer of a body, so nothing else would stop reading.
     """
 
     def __init__(self, **options):
@@ -25,11 +36,27 @@
         )
 
 
+def _turn_size(data):
+    """Return how many bytes of the data to parse in one turn."""
+    lines = data.count(b"\n", 0, _TURN_BYTES)
+    if lines <= _TURN_LINES:
+        return _TURN_BYTES
+    return _TURN_BYTES * _TURN_LINES // lines
+
+
 class _BoundedResponseHandler(ResponseHandler):
     def __init__(self, loop):
         super().__init__(loop)
         self._boundary = None
         self._is_head_read = False
+        # Received bytes that wait for their turn.
+        self._backlog = b""
+        self._is_turn_scheduled = False
+
+    @property
+    def should_close(self):
+        """Whether the connection cannot serve another request."""
+        return bool(self._backlog) or super().should_close
 
     def set_response_params(self, **options):
         """Expect the response to a new request."""
@@ -44,16 +71,71 @@
         return message
 
     def data_received(self, data):
-        """Pass on the bytes of the response."""
+        """Pass on the bytes of the response, a part in each turn."""
         if self._boundary is None or not data:
             super().data_received(data)
+        elif self._backlog or _turn_size(data) < len(data):
+            self._backlog += data
+            self._pause_transport_reading()
+            self._schedule_turn()
+        else:
+            self._receive(data)
+
+    def resume_reading(self, resume_parser=True):
+        """Continue once the body has room again."""
+        super().resume_reading(resume_parser)
+        self._schedule_turn()
+
+    def connection_lost(self, exc):
+        """Pass on what was received before the connection ended."""
+        data, self._backlog = self._backlog, b""
+        if data:
+            self._receive(data)
+        super().connection_lost(exc)
+
+    def _resume_transport_reading(self):
+        if not self._backlog:
+            super()._resume_transport_reading()
+
+    def _schedule_turn(self):
+        if self._backlog and not self._is_turn_scheduled:
+            self._is_turn_scheduled = True
+            self._loop.call_soon(self._take_turn)
+
+    def _take_turn(self):
+        self._is_turn_scheduled = False
+        if not self._backlog or self._reading_paused:
+            return
+        size = _turn_size(self._backlog)
+        data, self._backlog = self._backlog[:size], self._backlog[size:]
+        self._receive(data)
+        if self._backlog:
+            self._schedule_turn()
+        elif not (self._reading_paused or self._buffer_paused):
+            self._resume_transport_reading()
+
+    def _receive(self, data):
+        try:
+            own = self._boundary.count_own(data)
+        except FramingLimitError as error:
+            self._fail(error)
             return
-        own = self._boundary.count_own(data)
         if own:
             super().data_received(data[:own])
         if own == len(data):
             return
+        self._backlog = b""
         self.force_close()
         if self._is_head_read:
             # The response is complete, so nothing is lost by closing.
             self.close()
+
+    def _fail(self, error):
+        """Reset the connection and fail the response or its body."""
+        self._backlog = b""
+        if self.transport is not None:
+            self.transport.abort()
+        payload = self._payload
+        if payload is not None and not payload.is_eof():
+            payload.set_exception(aiohttp.ClientPayloadError(str(error)))
+        self.set_exception(HttpProcessingError(message=str(error)))
