Reject text without an encoding, and tell only what can be sent

A record that cannot be encoded all the same is left out of the message, logged and counted (medlarhollow.exchange.dropped_records). A registry acknowledges that a server leaves only while it has sent to a majority of the registries within the silence timeout.

--- a/medlarhollow/daemon/process.py
+++ b/medlarhollow/daemon/process.py
@@ -174,6 +174,9 @@
             "freshness_age",
             lambda: state_cache.freshness_age_s(clock.monotonic()),
         )
+        self._telemetry.register_gauge(
+            "dropped_records", lambda: self._exchange.dropped_records
+        )
         self._telemetry.register_gauge(
             "move_fraction",
             lambda: {
@@ -330,6 +333,7 @@
             drain=self._drain,
             caller_regions=self._caller_regions,
             dialect=self._frontend.dialect,
+            can_notify=self._exchange.can_notify,
         )
 
     def _make_http_servers(self, client):
--- a/medlarhollow/entry/registry.py
+++ b/medlarhollow/entry/registry.py
@@ -141,13 +141,15 @@
 
 
 def _is_connected(vm, now):
-    return vm.state_cache.freshness_age_s(now) <= _CONNECTED_AGE_LIMIT_S
+    return vm.state_cache.freshness_age_s(
+        now
+    ) <= _CONNECTED_AGE_LIMIT_S and vm.can_notify(now)
 
 
 def _fail_disconnected():
     return fail(
         ErrorKind.STALE_AUTHORITY,
-        "this VM is isolated from the control replicas",
+        "this VM is isolated from the control replicas or registries",
     )
 
 
--- a/medlarhollow/entry/vm.py
+++ b/medlarhollow/entry/vm.py
@@ -60,6 +60,9 @@
         Names of the headers.
     request_log : RequestLog
         Log of completed requests.
+    can_notify : callable
+        Returns whether this VM can notify the others of a leaving server,
+        given the monotonic time.
     queued : int
         Requests that wait for a token or a slot.
     """
@@ -98,6 +101,7 @@
             takes_self=True,
         )
     )
+    can_notify: object = lambda now: True
     queued: int = 0
 
     async def wait_in_queue(self, acquisition):
--- a/medlarhollow/membership/announcement.py
+++ b/medlarhollow/membership/announcement.py
@@ -6,6 +6,7 @@
 
 from ..configuration import hash_secret
 from ..errors import fail
+from ..messages import encode
 from ..messages.records import ErrorKind
 from ..transport import parse_address
 from .order import is_later
@@ -114,6 +115,8 @@
         )
     try:
         parse_address(server.address)
+        # A record without an encoding could not be sent to any other VM.
+        encode(server)
     except ValueError as error:
         return fail(ErrorKind.BAD_REQUEST, str(error))
     return Ok(server)
--- a/medlarhollow/membership/exchange.py
+++ b/medlarhollow/membership/exchange.py
@@ -12,6 +12,7 @@
 from .registries import RegistrySelector
 from .updates import Audience
 from .updates import OutgoingUpdates
+from .updates import split_by_encoding
 
 __all__ = ["Exchange", "LocalLoad"]
 
@@ -96,6 +97,9 @@
         self._follower_wake_events = set()
         self._incoming = {}
         self._names_by_address = {}
+        # Monotonic time of the last message to each registry, by name.
+        self._sent_at = {}
+        self._dropped_records = 0
         directory.subscribe(self.wake)
         directory.subscribe_relayed(self._wake_followers)
 
@@ -103,6 +107,38 @@
     def _is_registry(self):
         return self._is_fleet_wide and bool(self._local_vm().announce_address)
 
+    @property
+    def dropped_records(self):
+        """Number of records that were left out, since they had no encoding."""
+        return self._dropped_records
+
+    def can_notify(self, now):
+        """Return whether this VM can notify a majority of the registries.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic time in seconds.
+
+        Returns
+        -------
+        bool
+            Also True if it is the only registry.
+        """
+        if not self._is_fleet_wide:
+            return True
+        local_name = self._settings.vm.name
+        others = [
+            vm.name
+            for vm in self._state_cache.state.vms.values()
+            if vm.announce_address and vm.name != local_name
+        ]
+        oldest = now - self._settings.peer.silence_timeout_s
+        notified = sum(
+            self._sent_at.get(name, float("-inf")) >= oldest for name in others
+        )
+        return 2 * notified >= len(others)
+
     def wake(self):
         """Send pending changes on every stream before its next interval."""
         for wake_event in self._wake_events:
@@ -244,7 +280,9 @@
                 self._local_vm(), self._directory, load, now
             )
             async with asyncio.timeout(silence_s):
-                await stream.send_message(update)
+                await self._send_encodable(stream, update)
+            if audience is Audience.REGISTRY:
+                self._sent_at[vm.name] = clock.monotonic()
             try:
                 async with asyncio.timeout(_INTERVAL_S):
                     await wake_event.wait()
@@ -252,6 +290,22 @@
                 continue
             await asyncio.sleep(_BATCH_DELAY_S)
 
+    async def _send_encodable(self, stream, update):
+        """Send a message, without the records that have no encoding."""
+        try:
+            await stream.send_message(update)
+        except ValueError as error:
+            update, dropped = split_by_encoding(update)
+            if not dropped:
+                raise
+            self._dropped_records += len(dropped)
+            _LOG.error(
+                "membership: leaves %d records out of a message: %s",
+                len(dropped),
+                error,
+            )
+            await stream.send_message(update)
+
     async def _receive(self, stream, address, incoming, peer):
         silence_s = self._settings.peer.silence_timeout_s
         last_sequence = 0
--- a/medlarhollow/membership/tests/test_exchange.py
+++ b/medlarhollow/membership/tests/test_exchange.py
@@ -280,3 +280,14 @@
     b.announce()
     await asyncio.sleep(1.2)
     assert a.usable() == []
+
+
+async def test_record_without_an_encoding_ends_no_stream(make_members):
+    """Guards all servers of a VM against one record that cannot be sent."""
+    first, second = await make_members(["a", "b"])
+    first.announce(server_id="odd", version="1\ud800")
+    first.announce(server_id="sound")
+    await eventually(lambda: second.usable() == ["sound"])
+    first.announce(server_id="later")
+    await eventually(lambda: set(second.usable()) == {"sound", "later"})
+    assert first.exchange.dropped_records > 0
--- a/medlarhollow/membership/tests/test_registries.py
+++ b/medlarhollow/membership/tests/test_registries.py
@@ -6,11 +6,13 @@
 import pytest
 
 from medlarhollow import clock
+from medlarhollow.limits.tests.support import FakeStateCache
 from medlarhollow.limits.tests.support import make_settings
 from medlarhollow.limits.tests.support import make_state
 from medlarhollow.localfleet.ports import free_addresses
 from medlarhollow.membership import apply_announcement
 from medlarhollow.membership import Directory
+from medlarhollow.membership import Exchange
 from medlarhollow.membership import LocalLoad
 from medlarhollow.membership.updates import Audience
 from medlarhollow.membership.updates import OutgoingUpdates
@@ -21,6 +23,7 @@
 from .test_directory import make_server
 
 LEASE_S = 3.0
+NAMES = ("r1", "r2", "r3")
 
 
 class Node:
@@ -398,3 +401,39 @@
         far.announce(started_at_ms=1, sequence=sequence)
         await asyncio.sleep(0.6)
         assert entry.usable() == ["s1"]
+
+
+@pytest.mark.parametrize(
+    ("notified", "can_notify"),
+    [((), False), (("r2",), True), (("r2", "r3"), True)],
+)
+def test_registry_that_notifies_no_majority_acknowledges_nobody(
+    tmp_path, notified, can_notify
+):
+    """Guards against requests to a server that was told it may leave by a
+    registry whose streams all fail."""
+    state = make_state(
+        vms=[(name, "north", "north-a", f"{name}:1") for name in NAMES]
+    )
+    for name in NAMES:
+        state.vms[name] = attrs.evolve(
+            state.vms[name], announce_address=f"{name}:2"
+        )
+    settings = make_settings(
+        "r1",
+        tmp_path,
+        vm__roles="entry, registry",
+        backends__scope="fleet",
+        peer__silence_timeout_s="2.0",
+    )
+    exchange = Exchange(
+        settings,
+        FakeStateCache(state),
+        Directory(settings),
+        None,
+        lambda: state.vms["r1"],
+    )
+    for name in notified:
+        exchange._sent_at[name] = 100.0
+    assert exchange.can_notify(101.9) == can_notify
+    assert not exchange.can_notify(102.1)
--- a/medlarhollow/membership/tests/test_registry.py
+++ b/medlarhollow/membership/tests/test_registry.py
@@ -141,3 +141,11 @@
         state, "north", "north-a", lambda vm: vm.name not in dead
     )
     assert [vm.name for vm in listed] == expected
+
+
+@pytest.mark.parametrize("name", ["server_id", "version", "data_centre"])
+def test_announcement_without_an_encoding_is_rejected(name):
+    """Guards the streams to the other VMs, whichever listener accepted it."""
+    odd = attrs.evolve(SERVER, **{name: "1\ud800"})
+    result = check_open_announcement(odd, make_state())
+    assert result.err_value.kind is ErrorKind.BAD_REQUEST
--- a/medlarhollow/membership/updates.py
+++ b/medlarhollow/membership/updates.py
@@ -4,10 +4,11 @@
 
 import attrs
 
+from ..messages import encode
 from ..messages.records import BackendServer
 from ..messages.records import ExchangeUpdate
 
-__all__ = ["Audience", "OutgoingUpdates"]
+__all__ = ["Audience", "OutgoingUpdates", "split_by_encoding"]
 
 # A server's load is sent again once it has changed by this much.
 _LOAD_STEP = 0.05
@@ -16,6 +17,42 @@
 _REFRESH_ANNOUNCEMENTS = 16
 
 
+def split_by_encoding(update):
+    """Separate the records of a message that cannot be encoded.
+
+    Parameters
+    ----------
+    update : ExchangeUpdate
+        Message whose encoding failed.
+
+    Returns
+    -------
+    tuple of (ExchangeUpdate, tuple)
+        The message without these records, and the records.
+    """
+    dropped = tuple(
+        record
+        for record in (*update.servers, *update.followers)
+        if not _has_encoding(record)
+    )
+    return (
+        attrs.evolve(
+            update,
+            servers=tuple(filter(_has_encoding, update.servers)),
+            followers=tuple(filter(_has_encoding, update.followers)),
+        ),
+        dropped,
+    )
+
+
+def _has_encoding(record):
+    try:
+        encode(record)
+    except ValueError:
+        return False
+    return True
+
+
 class Audience(enum.Enum):
     """What the VM at the other end of a stream needs.
 
--- a/medlarhollow/telemetry/metrics.py
+++ b/medlarhollow/telemetry/metrics.py
@@ -64,6 +64,7 @@
     "revision": ("medlarhollow.revision", "1"),
     "move_fraction": ("medlarhollow.move.fraction", "1"),
     "processor_time": ("medlarhollow.processor.time", "s"),
+    "dropped_records": ("medlarhollow.exchange.dropped_records", "{record}"),
     "loop_lag": ("medlarhollow.loop.lag", "s"),
 }
 
