--- a/medlarhollow/admin/tests/fakes.py
+++ b/medlarhollow/admin/tests/fakes.py
@@ -33,7 +33,8 @@
 
     def __init__(self):
         self.state = FleetState(cluster="test")
-        self.history = CommitHistory(100)
+        control = SimpleNamespace(history_commits=100, history_bytes=2**23)
+        self.history = CommitHistory(SimpleNamespace(control=control))
         self.changes = []
         self.failure = None
         self.is_leader = True
--- a/medlarhollow/agreement/log.py
+++ b/medlarhollow/agreement/log.py
@@ -1,7 +1,11 @@
 """In-memory Raft log of a replica, starting after the last compaction."""
 
+import attrs
+
+from ..messages import decode
 from ..messages import encode
 from ..messages.records import EntryKind
+from ..messages.records import LogEntry
 from ..messages.records import ReplicaSet
 
 __all__ = ["EntryLog"]
@@ -10,6 +14,9 @@
 class EntryLog:
     """Hold the entries that follow a base entry covered by a snapshot.
 
+    Entries are kept encoded. The decoded change of an entry is kept only
+    until :meth:`release`, since it takes several times the memory.
+
     Parameters
     ----------
     base_index, base_term : int
@@ -24,6 +31,9 @@
         self._base_term = base_term
         self._entries = []
         self._encodings = []
+        # Bytes of all encodings appended up to each entry, and to the base.
+        self._ends = []
+        self._base_end = 0
         self._replica_sets = [(base_index, replicas or ReplicaSet())]
 
     @property
@@ -65,24 +75,63 @@
         )
 
     def entry(self, index):
-        """Return the entry at an index, which must be in memory."""
-        return self._entries[index - self._base_index - 1]
+        """Return the complete entry at an index, which must be in memory."""
+        position = index - self._base_index - 1
+        entry = self._entries[position]
+        if entry.kind is EntryKind.CHANGE and entry.change is None:
+            return decode(LogEntry, self._encodings[position])
+        return entry
+
+    def release(self, index):
+        """Drop the decoded change of an entry that was executed."""
+        position = index - self._base_index - 1
+        entry = self._entries[position]
+        if entry.change is not None:
+            self._entries[position] = attrs.evolve(entry, change=None)
 
     def term_at(self, index):
         """Return the term of an entry, or None if the log does not have it."""
         if index == self._base_index:
             return self._base_term
         if self._base_index < index <= self.last_index:
-            return self.entry(index).term
+            return self._entries[index - self._base_index - 1].term
         return None
 
+    def size_after(self, index):
+        """Return the bytes of the entries in memory after an index."""
+        if not self._ends:
+            return 0
+        return self._ends[-1] - self._end_at(index)
+
+    def find_retained(self, index, limit_entries, limit_bytes):
+        """Return the index after which the entries fit both limits.
+
+        Parameters
+        ----------
+        index : int
+            Index of the last entry of the part that is limited.
+        limit_entries, limit_bytes : int
+            Limits in entries and bytes.
+
+        Returns
+        -------
+        int
+            At most `index`, and at least the base.
+        """
+        first = max(self._base_index, index - limit_entries)
+        end = self._end_at(index)
+        while first < index and end - self._end_at(first) > limit_bytes:
+            first += 1
+        return first
+
     def append(self, entry, encoding=None):
         """Append the next entry.
 
         Parameters
         ----------
         entry : LogEntry
-            Its index must be one above the last one.
+            Its index must be one above the last one. Its change may be
+            missing if `encoding` has it.
         encoding : bytes or None
             Its encoding; None to encode it here.
 
@@ -95,8 +144,10 @@
             raise ValueError(
                 f"entry {entry.index} does not follow {self.last_index}"
             )
+        encoding = encoding or encode(entry)
+        self._ends.append(self._end_at(self.last_index) + len(encoding))
         self._entries.append(entry)
-        self._encodings.append(encoding or encode(entry))
+        self._encodings.append(encoding)
         if entry.kind is EntryKind.REPLICAS:
             self._replica_sets.append(
                 (entry.index, entry.replicas or ReplicaSet())
@@ -107,6 +158,7 @@
         keep = max(0, index - self._base_index)
         del self._entries[keep:]
         del self._encodings[keep:]
+        del self._ends[keep:]
         while (
             len(self._replica_sets) > 1 and self._replica_sets[-1][0] > index
         ):
@@ -126,13 +178,15 @@
         )
         later = [item for item in self._replica_sets if item[0] > index]
         count = index - self._base_index
+        self._base_end = self._end_at(index)
         del self._entries[:count]
         del self._encodings[:count]
+        del self._ends[:count]
         self._base_index, self._base_term = index, term
         self._replica_sets = [(set_index, replicas), *later]
 
     def batch(self, start, limit_entries, limit_bytes):
-        """Return a batch of entries for one append request.
+        """Return a batch of encoded entries for one append request.
 
         Parameters
         ----------
@@ -144,7 +198,7 @@
 
         Returns
         -------
-        tuple of LogEntry
+        tuple of bytes
             Empty if `start` is beyond the end of the log.
         """
         first = start - self._base_index - 1
@@ -155,7 +209,7 @@
             if size > limit_bytes and end > first:
                 break
             end += 1
-        return tuple(self._entries[first:end])
+        return tuple(self._encodings[first:end])
 
     def encodings(self, start):
         """Return (index, encoding) pairs of all entries from an index on."""
@@ -164,3 +218,9 @@
             (self._base_index + 1 + position, self._encodings[position])
             for position in range(first, len(self._encodings))
         ]
+
+    def _end_at(self, index):
+        """Return the bytes appended up to an index, or up to the base."""
+        if index <= self._base_index:
+            return self._base_end
+        return self._ends[index - self._base_index - 1]
--- a/medlarhollow/agreement/node.py
+++ b/medlarhollow/agreement/node.py
@@ -234,8 +234,7 @@
         self.commit_index = max(self.commit_index, index)
         while self.applied_index < self.commit_index:
             self._execute(self.log.entry(self.applied_index + 1))
-        limit = self.settings.control.snapshot_entries
-        if self.applied_index - self.snapshot_index >= limit:
+        if self._is_compaction_due():
             self.compaction_requested.set()
         self.notify_applied()
 
@@ -301,10 +300,20 @@
             self.hard.term + 1, self.identity.name, self.identity.incarnation
         )
 
+    def _is_compaction_due(self):
+        control = self.settings.control
+        entries = self.applied_index - self.snapshot_index
+        return (
+            entries >= control.snapshot_entries
+            or self.log.size_after(self.snapshot_index)
+            >= control.snapshot_bytes
+        )
+
     def _execute(self, entry):
         result = None
         if entry.kind is EntryKind.CHANGE:
             result = self.state_machine.execute(entry.change, entry.time_s)
+        self.log.release(entry.index)
         self.applied_index = entry.index
         self.time_s = max(self.time_s, entry.time_s)
         term, future = self.pending_proposals.pop(entry.index, (0, None))
--- a/medlarhollow/agreement/persistence.py
+++ b/medlarhollow/agreement/persistence.py
@@ -36,7 +36,8 @@
     """
     # Keeps entries for followers that lag a little, so that they need no
     # snapshot.
-    retained = node.settings.control.snapshot_entries // 2
+    retained_entries = node.settings.control.snapshot_entries // 2
+    retained_bytes = node.settings.control.snapshot_bytes // 2
     while not node.failed:
         await node.compaction_requested.wait()
         node.compaction_requested.clear()
@@ -55,4 +56,6 @@
             await node.sync_log()
             await node.run_blocking(node.store.save_snapshot, payload, index)
             node.snapshot_index = index
-            node.log.compact(index - retained)
+            node.log.compact(
+                node.log.find_retained(index, retained_entries, retained_bytes)
+            )
--- a/medlarhollow/agreement/proposals.py
+++ b/medlarhollow/agreement/proposals.py
@@ -19,8 +19,9 @@
 # Keeps a batch of entries and a chunk of a snapshot well below what a
 # connection transfers within an election timeout.
 MAX_CHANGE_BYTES = 1024 * 1024
-# Bounds the memory of a leader that has lost its quorum.
+# Bound the memory of a leader that has lost its quorum.
 MAX_PENDING_PROPOSALS = 4096
+MAX_PENDING_BYTES = 16 * 1024 * 1024
 
 
 def expects_request_id(change):
@@ -65,6 +66,12 @@
             f"the change has {len(encoding)} bytes; at most "
             f"{MAX_CHANGE_BYTES} are allowed",
         )
+    pending_bytes = node.log.size_after(node.commit_index)
+    if pending_bytes + len(encoding) > MAX_PENDING_BYTES:
+        return fail(
+            ErrorKind.OVERLOADED,
+            f"changes of {pending_bytes} bytes are pending",
+        )
     return await _commit(node, entry, encoding, timeout_s)
 
 
--- a/medlarhollow/agreement/replication.py
+++ b/medlarhollow/agreement/replication.py
@@ -7,6 +7,7 @@
 from .. import clock
 from ..messages import decode
 from ..messages.records import AppendResponse
+from ..messages.records import LogEntry
 from ..messages.records import LogSnapshot
 from ..messages.records import SnapshotResponse
 from ..storage import StorageError
@@ -16,6 +17,9 @@
 
 __all__ = ["append_entries", "find_conflict", "install_snapshot_chunk"]
 
+# A state of this size would not fit into the memory of a control VM.
+SNAPSHOT_LIMIT_BYTES = 64 * 1024 * 1024
+
 
 @attrs.define
 class _IncomingSnapshot:
@@ -113,6 +117,11 @@
         if incoming is None or sender != (incoming.term, incoming.leader):
             return _respond_chunk(node, 0)
         if request.offset == len(incoming.data):
+            if request.offset + len(request.data) > SNAPSHOT_LIMIT_BYTES:
+                raise StorageError(
+                    f"the snapshot of {request.leader} exceeds "
+                    f"{SNAPSHOT_LIMIT_BYTES} bytes"
+                )
             incoming.data += request.data
             if request.done:
                 node.incoming_snapshot = None
@@ -136,9 +145,10 @@
     return True
 
 
-def _merge_entries(node, entries):
+def _merge_entries(node, encodings):
     log = node.log
-    for entry in entries:
+    for encoding in encodings:
+        entry = decode(LogEntry, encoding)
         if entry.index <= log.base_index:
             continue
         if entry.index <= log.last_index:
@@ -151,7 +161,7 @@
                 )
             log.truncate(entry.index - 1)
             node.synced_index = min(node.synced_index, entry.index - 1)
-        log.append(entry)
+        log.append(entry, encoding)
 
 
 async def _install_snapshot(node, payload):
--- a/medlarhollow/agreement/state_machine.py
+++ b/medlarhollow/agreement/state_machine.py
@@ -50,7 +50,7 @@
     def __init__(self, settings):
         self._settings = settings
         self._state = FleetState(cluster=settings.vm.cluster)
-        self._history = CommitHistory(settings.control.history_commits)
+        self._history = CommitHistory(settings)
         self._claims = ClaimLedger(settings)
         self._request_records = {}
 
--- a/medlarhollow/configuration/replacement.py
+++ b/medlarhollow/configuration/replacement.py
@@ -21,6 +21,9 @@
 
 # A longer response timeout indicates a value given in the wrong unit.
 ROUTE_TIMEOUT_LIMIT_S = 600.0
+# Accepted documents that are remembered to recognise retries: those of a day
+# of the design size.
+ACCEPTED_LIMIT = 10_000
 
 
 def check_configuration(configuration):
@@ -88,6 +91,8 @@
     state.document = new.document
     state.configuration_version = new.version
     state.accepted[new.version] = AcceptedConfiguration(new.version, digest)
+    while len(state.accepted) > ACCEPTED_LIMIT:
+        del state.accepted[min(state.accepted)]
     return Ok(None)
 
 
--- a/medlarhollow/distribution/state_cache.py
+++ b/medlarhollow/distribution/state_cache.py
@@ -28,7 +28,7 @@
     def __init__(self, settings):
         self._cluster = settings.vm.cluster
         self._state = FleetState(cluster=settings.vm.cluster)
-        self._history = CommitHistory(settings.control.history_commits)
+        self._history = CommitHistory(settings)
         self._proof_time_s = float("-inf")
         self._changed = asyncio.Condition()
         self._logged_version = self._state.configuration_version
--- a/medlarhollow/messages/codec.py
+++ b/medlarhollow/messages/codec.py
@@ -62,7 +62,7 @@
         raise ValueError(f"cannot encode {name}: {error}") from error
 
 
-def decode(cls, data):
+def decode(cls, data, omit=()):
     """Decode a record from protobuf.
 
     Parameters
@@ -71,6 +71,9 @@
         A class in :mod:`medlarhollow.messages.records`.
     data : bytes
         Its protobuf encoding.
+    omit : collection of str
+        Names of fields with a record that are left out, as if they were not
+        set.
 
     Returns
     -------
@@ -86,7 +89,7 @@
         message = _layout(cls).message.FromString(data)
     except DecodeError as error:
         raise ValueError(f"cannot decode {cls.__name__}: {error}") from error
-    return _read_record(cls, message)
+    return _read_record(cls, message, omit)
 
 
 class RecordCodec(CodecBase):
@@ -189,13 +192,13 @@
     return message
 
 
-def _read_record(cls, message):
+def _read_record(cls, message, omit=()):
     layout = _layout(cls)
     values = {name: getattr(message, name) for name, _ in layout.scalars}
     for name, field_class in layout.enums:
         values[name] = field_class(getattr(message, name))
     for name, field_class in layout.messages:
-        present = message.HasField(name)
+        present = name not in omit and message.HasField(name)
         values[name] = (
             _read_record(field_class, getattr(message, name))
             if present
--- a/medlarhollow/messages/records.py
+++ b/medlarhollow/messages/records.py
@@ -16,7 +16,11 @@
     "AppendResponse",
     "Applied",
     "BackendServer",
+    "Ballot",
     "BatchReport",
+    "BootstrapRequest",
+    "BootstrapResponse",
+    "BootstrapVote",
     "CallerLimits",
     "Change",
     "Claim",
@@ -51,6 +55,7 @@
     "LogSnapshot",
     "Move",
     "MoveState",
+    "OrderRecord",
     "Outcome",
     "Preset",
     "Priority",
@@ -634,6 +639,7 @@
     request_id: str = ""
     base_revision: int = 0
     author: str = ""
+    next_revision: int = 0
     body: "PutAccount | DeleteAccount | IssueKey | RevokeKey | PutService | DeleteService | PutRoute | DeleteRoute | PutPreset | DeletePreset | ActivatePreset | StartMove | RollBackMove | PutClientBlocks | PutLink | PutConfiguration | StartEvacuation | EndEvacuation | SetVm | StepShift | StepMove | FinishMove | SetShares | SetAllocator | SetServiceVersion | Claim | CompleteClaim | ReleaseClaim | None" = None
 
 
@@ -666,6 +672,15 @@
     change_sha256: bytes = b""
 
 
+@attrs.frozen
+class OrderRecord:
+    """Last accepted order about a subject."""
+
+    subject: str = ""
+    revision: int = 0
+    time_s: float = 0.0
+
+
 @attrs.frozen
 class StateSnapshot:
     """Record of StateSnapshot."""
@@ -694,6 +709,7 @@
     ended_evacuations: "tuple[Evacuation, ...]" = ()
     requests: "tuple[RequestRecord, ...]" = ()
     claims: "tuple[ClaimRecord, ...]" = ()
+    orders: "tuple[OrderRecord, ...]" = ()
     document: bytes = b""
     time_s: float = 0.0
 
@@ -743,6 +759,24 @@
     cluster: str = ""
     name: str = ""
     incarnation: str = ""
+    first_start: bool = False
+
+
+@attrs.frozen
+class Ballot:
+    """Number of a proposal of the first replica set, ordered by round, then by the address of the proposer."""
+
+    round: int = 0
+    address: str = ""
+
+
+@attrs.frozen
+class BootstrapVote:
+    """Persistent vote on the first replica set."""
+
+    promised: "Ballot | None" = None
+    accepted: "Ballot | None" = None
+    replicas: "ReplicaSet | None" = None
 
 
 @attrs.frozen
@@ -789,7 +823,7 @@
     previous_index: int = 0
     previous_term: int = 0
     commit_index: int = 0
-    entries: "tuple[LogEntry, ...]" = ()
+    entries: "tuple[bytes, ...]" = ()
 
 
 @attrs.frozen
@@ -824,6 +858,24 @@
     incarnation: str = ""
 
 
+@attrs.frozen
+class BootstrapRequest:
+    """Proposal of the first replica set: without a set, only the ballot is promised."""
+
+    cluster: str = ""
+    ballot: "Ballot | None" = None
+    replicas: "ReplicaSet | None" = None
+
+
+@attrs.frozen
+class BootstrapResponse:
+    """Record of BootstrapResponse."""
+
+    granted: bool = False
+    vote: "BootstrapVote | None" = None
+    replica: "Replica | None" = None
+
+
 @attrs.frozen
 class ProposeRequest:
     """Record of ProposeRequest."""
@@ -856,6 +908,7 @@
     freshness_age_s: float = 0.0
     replicas: "ReplicaSet | None" = None
     cluster: str = ""
+    may_bootstrap: bool = False
 
 
 @attrs.frozen
--- a/medlarhollow/messages/services.py
+++ b/medlarhollow/messages/services.py
@@ -24,6 +24,10 @@
 class RaftBase(abc.ABC):
     """Server side of the service Raft."""
 
+    @abc.abstractmethod
+    async def Bootstrap(self, stream):
+        """Serve one call of Bootstrap."""
+
     @abc.abstractmethod
     async def Vote(self, stream):
         """Serve one call of Vote."""
@@ -38,6 +42,12 @@
 
     def __mapping__(self):
         return {
+            "/medlarhollow.peer.Raft/Bootstrap": grpclib.const.Handler(
+                self.Bootstrap,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                records.BootstrapRequest,
+                records.BootstrapResponse,
+            ),
             "/medlarhollow.peer.Raft/Vote": grpclib.const.Handler(
                 self.Vote,
                 grpclib.const.Cardinality.UNARY_UNARY,
@@ -63,6 +73,12 @@
     """Client side of the service Raft."""
 
     def __init__(self, channel):
+        self.Bootstrap = grpclib.client.UnaryUnaryMethod(
+            channel,
+            "/medlarhollow.peer.Raft/Bootstrap",
+            records.BootstrapRequest,
+            records.BootstrapResponse,
+        )
         self.Vote = grpclib.client.UnaryUnaryMethod(
             channel,
             "/medlarhollow.peer.Raft/Vote",
--- a/medlarhollow/settings/generated.py
+++ b/medlarhollow/settings/generated.py
@@ -61,7 +61,9 @@
     heartbeat_s: float = 0.15
     election_timeout_s: float = 1.0
     snapshot_entries: int = 2000
+    snapshot_bytes: int = 8388608
     history_commits: int = 5000
+    history_bytes: int = 8388608
     claim_retention_s: float = 604800.0
     request_retention_s: float = 86400.0
     propose_timeout_s: float = 5.0
@@ -281,7 +283,7 @@
             Option(
                 name="bootstrap",
                 type="bool",
-                help="Form a new cluster of the listed replicas when the data directory is empty. Never set this on a replica that lost its disk.",
+                help="Form a new cluster of the listed replicas when the data directory is empty: of all of them, or with join of a majority, which the others join later. Never set this on a replica that lost its disk.",
             ),
             Option(
                 name="join",
@@ -316,6 +318,13 @@
                 highest=1000000,
                 help="Log entries after which a snapshot is written.",
             ),
+            Option(
+                name="snapshot_bytes",
+                type="int",
+                lowest=65536,
+                highest=1073741824,
+                help="Size of log entries after which a snapshot is written; half of it is retained for replicas that lag.",
+            ),
             Option(
                 name="history_commits",
                 type="int",
@@ -323,6 +332,13 @@
                 highest=1000000,
                 help="Accepted changes retained for VMs that catch up.",
             ),
+            Option(
+                name="history_bytes",
+                type="int",
+                lowest=65536,
+                highest=1073741824,
+                help="Estimated memory of these changes; older ones are dropped.",
+            ),
             Option(
                 name="claim_retention_s",
                 type="float",
--- a/medlarhollow/storage/log_files.py
+++ b/medlarhollow/storage/log_files.py
@@ -64,7 +64,8 @@
         Returns
         -------
         list of (LogEntry, bytes)
-            Effective entries in index order, with their encoding.
+            Effective entries in index order without their change, which
+            takes much memory, and with their encoding.
 
         Raises
         ------
@@ -226,7 +227,7 @@
 
 def _decode_entry(path, payload):
     try:
-        return decode(LogEntry, payload)
+        return decode(LogEntry, payload, omit=("change",))
     except ValueError as error:
         raise StorageError(f"{path}: {error}") from error
 
--- a/medlarhollow/storage/store.py
+++ b/medlarhollow/storage/store.py
@@ -49,8 +49,8 @@
         Returns
         -------
         tuple of (Identity, HardState, LogSnapshot or None, list)
-            The list contains the entries after the snapshot as (`LogEntry`,
-            encoding).
+            The list contains the entries after the snapshot as (`LogEntry`
+            without its change, encoding).
 
         Raises
         ------
