Let a majority of new seeds begin, by an agreement on the first set

The seeds agree on the first replica set by a single-decree vote that each of them syncs; any of them proposes, in the order of their addresses, as soon as all are known to be new, or a majority for three election timeouts. A data folder remembers that it was created at the first start, so a seed that lost its disk has no vote and joins without one until it has caught up, as late and replaced ones do. Without [control] join all seeds are waited for, as before, since nobody would add those left out.

--- a/medlarhollow/agreement/node.py
+++ b/medlarhollow/agreement/node.py
@@ -8,6 +8,7 @@
 import attrs
 
 from ..errors import fail
+from ..messages.records import BootstrapVote
 from ..messages.records import EntryKind
 from ..messages.records import ErrorKind
 from ..messages.records import HardState
@@ -86,6 +87,8 @@
     applied : asyncio.Event
         Set, and replaced by a new event, when entries were executed, a
         snapshot was installed or leadership was lost.
+    bootstrap_vote : BootstrapVote
+        Vote on the first replica set; synced before it is sent.
     pending_proposals : dict
         Proposals that wait for execution, as (term, future) by index.
     progress : dict of Progress
@@ -113,6 +116,7 @@
     term_start: int = 0
     failed: bool = False
     progress: dict = attrs.field(factory=dict)
+    bootstrap_vote: BootstrapVote = attrs.field(factory=BootstrapVote)
     pending_proposals: dict = attrs.field(factory=dict)
     incoming_snapshot: object = None
     lock: asyncio.Lock = attrs.field(factory=asyncio.Lock)
@@ -145,6 +149,19 @@
             and member.incarnation == self.identity.incarnation
         )
 
+    @property
+    def may_bootstrap(self):
+        """Whether it votes on the first replica set of a new cluster.
+
+        A replica that lost its disk has an incarnation that was not created
+        at the first start of the fleet.
+        """
+        return (
+            self.identity.first_start
+            and self.address in self.settings.control.replicas
+            and self.log.last_index == 0
+        )
+
     @property
     def may_change_replicas(self):
         """Whether this leader may append a new replica set.
@@ -281,6 +298,12 @@
         self.hard = hard
         await self.run_blocking(self.store.save_hard_state, hard)
 
+    async def save_bootstrap_vote(self, vote):
+        """Adopt and sync a vote; the caller holds `lock`."""
+        if vote != self.bootstrap_vote:
+            await self.run_blocking(self.store.save_bootstrap_vote, vote)
+            self.bootstrap_vote = vote
+
     async def observe_term(self, term):
         """Adopt the term of a response if it is higher."""
         async with self.lock:
--- a/medlarhollow/agreement/replica.py
+++ b/medlarhollow/agreement/replica.py
@@ -23,6 +23,7 @@
 from ..storage import ReplicaStore
 from ..transport import call
 from .bootstrap import bootstrap_cluster
+from .bootstrap import handle_bootstrap_request
 from .elections import handle_vote_request
 from .elections import run_elections
 from .joining import join_cluster
@@ -149,6 +150,7 @@
             revision=self.state.revision,
             freshness_age_s=age_s if age_s != float("inf") else -1.0,
             replicas=node.log.replicas,
+            may_bootstrap=node.may_bootstrap,
         )
 
     async def start(self):
@@ -164,7 +166,10 @@
         """
         settings = self._settings
         self._store = ReplicaStore(
-            settings.control.data_dir, settings.vm.cluster, settings.vm.name
+            settings.control.data_dir,
+            settings.vm.cluster,
+            settings.vm.name,
+            settings.control.bootstrap,
         )
         stored = await asyncio.to_thread(self._store.open)
         self._start_tasks(stored)
@@ -266,6 +271,10 @@
         except TimeoutError:
             return
 
+    async def handle_bootstrap_request(self, request):
+        """Return the response to a `BootstrapRequest`."""
+        return await handle_bootstrap_request(self._node, request)
+
     async def handle_vote_request(self, request):
         """Return the response to a `VoteRequest`."""
         return await handle_vote_request(self._node, request)
@@ -347,6 +356,7 @@
             applied_index=index,
             synced_index=log.last_index,
             snapshot_index=index,
+            bootstrap_vote=self._store.read_bootstrap_vote(),
             time_s=max(log.last_time_s, self.state.time_s),
         )
 
--- a/medlarhollow/agreement/service.py
+++ b/medlarhollow/agreement/service.py
@@ -23,6 +23,10 @@
     def __init__(self, replica):
         self._replica = replica
 
+    async def Bootstrap(self, stream):
+        """Serve a proposal of the first replica set."""
+        await self._serve(stream, self._replica.handle_bootstrap_request)
+
     async def Vote(self, stream):
         """Serve a vote request."""
         await self._serve(stream, self._replica.handle_vote_request)
--- a/medlarhollow/agreement/tests/test_replica_set.py
+++ b/medlarhollow/agreement/tests/test_replica_set.py
@@ -1,8 +1,9 @@
 """Rules for changes of the replica set."""
 
+import attrs
 import pytest
 
-from medlarhollow.agreement.bootstrap import plan_bootstrap
+from medlarhollow.agreement.bootstrap import list_new_seeds
 from medlarhollow.agreement.progress import Progress
 from medlarhollow.agreement.replica_set import plan_requested_change
 from medlarhollow.agreement.replica_set import plan_vote_change
@@ -77,23 +78,23 @@
     assert planned == (expected and ReplicaSet((A, expected)))
 
 
-EMPTY = ReplicaStatus(cluster="c", name="b", incarnation="b1")
+NEW_SEED = ReplicaStatus(
+    cluster="c", name="b", incarnation="b1", may_bootstrap=True
+)
 
 
 @pytest.mark.parametrize(
-    ("status", "bootstrapped"),
+    ("status", "new_seeds"),
     [
-        (EMPTY, True),
-        (None, False),
-        (ReplicaStatus(cluster="c", name="b"), False),
-        (ReplicaStatus("b", "b1", last_index=3, cluster="c"), False),
-        (ReplicaStatus("b", "b1", cluster="d"), False),
-        (ReplicaStatus("a", "b1", cluster="c"), False),
+        (NEW_SEED, ["h:2"]),
+        (None, []),
+        (attrs.evolve(NEW_SEED, incarnation=""), []),
+        (attrs.evolve(NEW_SEED, may_bootstrap=False), []),
+        (attrs.evolve(NEW_SEED, cluster="d"), []),
+        (attrs.evolve(NEW_SEED, last_index=3), None),
+        (attrs.evolve(NEW_SEED, last_index=3, cluster="d"), []),
     ],
 )
-def test_cluster_is_bootstrapped_from_empty_replicas_only(
-    status, bootstrapped
-):
+def test_cluster_is_bootstrapped_from_empty_replicas_only(status, new_seeds):
     """Guards against a second cluster beside one that has a log."""
-    planned = plan_bootstrap("c", A, {"h:2": status})
-    assert planned == (ReplicaSet((A, B)) if bootstrapped else None)
+    assert list_new_seeds("c", {"h:2": status, "h:3": None}) == new_seeds
--- a/medlarhollow/storage/store.py
+++ b/medlarhollow/storage/store.py
@@ -7,6 +7,7 @@
 from ..errors import FailureError
 from ..messages import decode
 from ..messages import encode
+from ..messages.records import BootstrapVote
 from ..messages.records import ErrorKind
 from ..messages.records import Failure
 from ..messages.records import HardState
@@ -34,12 +35,16 @@
         Name of the cluster.
     name : str
         Name of the replica.
+    first_start : bool
+        Whether the fleet starts for the first time; kept with the identity
+        of an empty folder.
     """
 
-    def __init__(self, folder, cluster, name):
+    def __init__(self, folder, cluster, name, first_start=False):
         self._folder = pathlib.Path(folder)
         self._cluster = cluster
         self._name = name
+        self._first_start = first_start
         self._log = LogFiles(self._folder)
         self._lock = None
 
@@ -109,6 +114,14 @@
         """Replace term and vote on the disk."""
         replace_framed(self._folder / "state", encode(hard))
 
+    def read_bootstrap_vote(self):
+        """Return the vote on the first replica set."""
+        return self._read_record("bootstrap", BootstrapVote) or BootstrapVote()
+
+    def save_bootstrap_vote(self, vote):
+        """Replace the vote on the first replica set on the disk."""
+        replace_framed(self._folder / "bootstrap", encode(vote))
+
     def append(self, items):
         """Append and sync (index, encoding) pairs of log entries."""
         self._log.append(items)
@@ -145,6 +158,7 @@
             cluster=self._cluster,
             name=self._name,
             incarnation=uuid.uuid4().hex,
+            first_start=self._first_start,
         )
         replace_framed(self._folder / "identity", encode(identity))
         sync_folder(self._folder.parent)
