Bind orders to what their sender knew, and reject those it gave up

Evacuations, roll-outs and deregistrations carry no version and no identifier, so nothing told that the order was old.

An order is bound to the revision at which it was read: one that another order about the same subject has overtaken since counts as executed before it, or, for a move to another version, is a conflict. Before it is proposed, the replica confirms its state with the leader, waits 0.1 s for the end of the connection, and rejects the order (503, not run) if its caller has left, if this process was suspended around its arrival or if it was held for a second.

medlarhollow.modelcheck explores the interleavings of an operator that resends, two VMs, suspensions, cuts and late proposals over the real code. It finds the fault without the protections, and each of the five is needed: without binding, the check of the close or its delay one fault suffices, without the other two it takes two. It found a sixth fault on the way: with 0 as 'no revision' the very first order was not bound. What stays open: a link that delivers an order and is cut before the close behind it.

--- a/medlarhollow/admin/fleet_admin.py
+++ b/medlarhollow/admin/fleet_admin.py
@@ -1,6 +1,7 @@
 """Serve operator requests independently of the front end."""
 
 import asyncio
+import logging
 
 import attrs
 from grpclib.exceptions import GRPCError
@@ -17,15 +18,19 @@
 from ..messages.records import SetReplicasRequest
 from ..messages.records import StatusRequest
 from ..messages.services import ControlStub
+from ..suspension import SuspensionMonitor
 from ..transport import call
 from .documents import FleetStatus
 from .documents import ReplicaAnswer
+from .orders import check_sender
+from .orders import wait_to_settle
 from .requests import change_request_id
 from .status import describe_data_centres
 from .status import describe_vms
 
 __all__ = ["FleetAdmin"]
 
+_LOG = logging.getLogger(__name__)
 _REPLICA_TIMEOUT_S = 1.0
 _CHANGE_TIMEOUT_S = 6.0
 _REPORT_MAX_AGE_S = 60.0
@@ -45,13 +50,16 @@
         Connections to the other replicas.
     reports : Reports
         Reports of the entry VMs.
+    suspension : SuspensionMonitor or None
+        Knows when this process was suspended; None if that is not checked.
     """
 
-    def __init__(self, settings, replica, channels, reports):
+    def __init__(self, settings, replica, channels, reports, suspension=None):
         self._settings = settings
         self._replica = replica
         self._channels = channels
         self._reports = reports
+        self._suspension = suspension or SuspensionMonitor()
 
     @property
     def state(self):
@@ -80,7 +88,56 @@
             status.revision
         )
 
-    async def propose(self, request, body, suffix=""):
+    async def propose_order(self, request, body, sender):
+        """Propose an order that carries no identifier of its sender.
+
+        Parameters
+        ----------
+        request : OperatorRequest
+            Provides the operator and request identifier.
+        body : object
+            Body of the change.
+        sender : OrderSender
+            Sender of the order.
+
+        Returns
+        -------
+        result.Result
+            As :meth:`propose`; ``NO_QUORUM`` or ``STALE_AUTHORITY`` if the
+            order may be older than others that were executed.
+        """
+        if not await self.catch_up():
+            return fail(
+                ErrorKind.NO_QUORUM, "this replica may be behind the others"
+            )
+        next_revision = self.state.revision + 1
+        checked = await self.check_sender(sender)
+        if checked.is_err():
+            return checked
+        return await self.propose(request, body, next_revision=next_revision)
+
+    async def check_sender(self, sender):
+        """Return whether the sender of an order still waits for it.
+
+        Parameters
+        ----------
+        sender : OrderSender
+            Sender of the order.
+
+        Returns
+        -------
+        result.Result
+            ``Ok(None)`` or ``STALE_AUTHORITY``.
+        """
+        await wait_to_settle(sender)
+        checked = check_sender(
+            sender, self._suspension.resumed_at, clock.monotonic()
+        )
+        if checked.is_err():
+            _LOG.warning("admin: order rejected: %s", checked.err_value.detail)
+        return checked
+
+    async def propose(self, request, body, suffix="", next_revision=0):
         """Propose one change.
 
         Parameters
@@ -91,6 +148,8 @@
             Body of the change.
         suffix : str
             Distinguishes several changes of one request.
+        next_revision : int
+            Next revision when an order was read; 0 for no check.
 
         Returns
         -------
@@ -100,6 +159,7 @@
         change = Change(
             request_id=change_request_id(request, suffix),
             base_revision=request.base_revision,
+            next_revision=next_revision,
             author=request.operator,
             body=body,
         )
--- a/medlarhollow/agreement/state_machine.py
+++ b/medlarhollow/agreement/state_machine.py
@@ -16,6 +16,8 @@
 from ..configuration import check_author
 from ..configuration import CommitHistory
 from ..configuration import FleetState
+from ..configuration import order_subject
+from ..configuration import resolve_superseded
 from ..errors import fail
 from ..messages import encode
 from ..messages.records import Applied
@@ -23,6 +25,7 @@
 from ..messages.records import Commit
 from ..messages.records import CompleteClaim
 from ..messages.records import ErrorKind
+from ..messages.records import OrderRecord
 from ..messages.records import ReleaseClaim
 from ..messages.records import RequestRecord
 from ..requests import ClaimLedger
@@ -31,6 +34,9 @@
 
 _LOG = logging.getLogger(__name__)
 _CLAIM_CHANGES = (Claim, CompleteClaim, ReleaseClaim)
+# Results and orders that are remembered: those of a day of the design size,
+# and as many of the leader's own changes.
+MAX_RECORDS = 20_000
 
 
 def is_claim_change(change):
@@ -53,6 +59,7 @@
         self._history = CommitHistory(settings)
         self._claims = ClaimLedger(settings)
         self._request_records = {}
+        self._order_records = {}
 
     @property
     def state(self):
@@ -76,6 +83,7 @@
             self._state.snapshot(),
             requests=tuple(self._request_records.values()),
             claims=self._claims.records,
+            orders=tuple(self._order_records.values()),
         )
 
     def restore(self, snapshot):
@@ -92,6 +100,9 @@
         self._request_records = {
             record.request_id: record for record in snapshot.requests
         }
+        self._order_records = {
+            record.subject: record for record in snapshot.orders
+        }
 
     def execute(self, change, now):
         """Execute one change.
@@ -110,7 +121,8 @@
             executed before, its first result. ``KEY_REUSED`` if another
             change was executed under the same request identifier.
         """
-        self._expire_requests(now)
+        self._expire(self._request_records, "request_id", now)
+        self._expire(self._order_records, "subject", now)
         if is_claim_change(change):
             return self._apply_guarded(self._claims.execute, change.body, now)
         first = self._request_records.get(change.request_id)
@@ -127,15 +139,15 @@
             )
         return result
 
-    def _expire_requests(self, now):
-        """Drop the results that are older than the retention time."""
+    def _expire(self, records, key, now):
+        """Drop the records beyond the retention time or the limit."""
         expired_before = now - self._settings.control.request_retention_s
         # Records are inserted in log order, so the oldest come first.
-        while self._request_records:
-            oldest = next(iter(self._request_records.values()))
-            if oldest.time_s >= expired_before:
+        while records:
+            oldest = next(iter(records.values()))
+            if oldest.time_s >= expired_before and len(records) <= MAX_RECORDS:
                 return
-            del self._request_records[oldest.request_id]
+            del records[getattr(oldest, key)]
 
     def _apply(self, change, now):
         state = self._state
@@ -150,6 +162,10 @@
         authorised = check_author(change)
         if authorised.is_err():
             return authorised
+        subject = order_subject(change.body)
+        if self._is_superseded(change, subject):
+            result = resolve_superseded(change.body, state)
+            return result.map(lambda _: Applied(revision=state.revision))
         result = self._apply_guarded(apply, change.body, state, now)
         if result.is_err():
             return result
@@ -157,9 +173,25 @@
         state.time_s = now
         if change.author:
             state.operator_revision = state.revision
+        if subject and change.author:
+            self._order_records.pop(subject, None)
+            self._order_records[subject] = OrderRecord(
+                subject, state.revision, now
+            )
         self._history.add(Commit(state.revision, now, change))
         return Ok(Applied(revision=state.revision))
 
+    def _is_superseded(self, change, subject):
+        """Return whether a later order about the same subject was accepted.
+
+        Later than the time at which this one was read, so that its sender may
+        have sent the other one after it gave up waiting.
+        """
+        record = self._order_records.get(subject)
+        return (
+            record is not None and 0 < change.next_revision <= record.revision
+        )
+
     def _apply_guarded(self, function, *arguments):
         """Reject a change whose execution raises an exception.
 
--- a/medlarhollow/configuration/__init__.py
+++ b/medlarhollow/configuration/__init__.py
@@ -17,6 +17,8 @@
 from .keys import generate_key
 from .keys import hash_secret
 from .keys import make_key_record
+from .orders import order_subject
+from .orders import resolve_superseded
 from .routes import choose_destination
 from .routes import match_route
 from .state import FleetState
@@ -35,4 +37,6 @@
     "hash_secret",
     "make_key_record",
     "match_route",
+    "order_subject",
+    "resolve_superseded",
 ]
--- a/medlarhollow/daemon/process.py
+++ b/medlarhollow/daemon/process.py
@@ -32,6 +32,7 @@
 from ..moves import VersionSelector
 from ..steering import CallerRegions
 from ..steering import Dispatcher
+from ..suspension import SuspensionMonitor
 from ..telemetry import set_activity
 from ..telemetry import Telemetry
 from ..transport import Channels
@@ -121,6 +122,7 @@
             self._dispatcher.local_load,
         )
         self._caller_regions = CallerRegions(self._state_cache)
+        self._suspension = SuspensionMonitor()
         self._replica = None
         if "control" in settings.vm.roles:
             self._replica = Replica(settings, self._channels)
@@ -227,6 +229,7 @@
             yield "steering", self._report_samples()
             yield "steering", self._caller_regions.run()
         if self._replica is not None:
+            yield "daemon", self._suspension.run()
             leader_tasks = LeaderTasks(
                 self._settings, self._replica, self._reports, self._directory
             )
@@ -344,7 +347,11 @@
         admin = None
         if self._replica is not None:
             admin = FleetAdmin(
-                settings, self._replica, self._channels, self._reports
+                settings,
+                self._replica,
+                self._channels,
+                self._reports,
+                self._suspension,
             )
         listeners = list(self._frontend.make_listeners(vm, admin))
         if settings.telemetry.metrics_listen:
--- a/medlarhollow/daemon/protocol.py
+++ b/medlarhollow/daemon/protocol.py
@@ -111,6 +111,7 @@
         super().on_message_begin()
         self.scope["extensions"] = {
             "medlarhollow.abort": self.abort,
+            "medlarhollow.has_left": self.has_left,
             "medlarhollow.is_closed": self.is_closed,
             "medlarhollow.may_close": self.may_close,
             "medlarhollow.wait_closed": self._closed_event.wait,
@@ -160,6 +161,17 @@
         """
         return sum(response.is_started for response in self._responses) <= 1
 
+    def has_left(self):
+        """Return whether the peer has closed the connection.
+
+        This reads the state of the socket, so that a close counts before the
+        event loop has processed it.
+        """
+        if self.transport.is_closing():
+            return True
+        connection = self.transport.get_extra_info("socket")
+        return connection is not None and has_disconnected(connection)
+
     def is_closed(self):
         """Return whether the connection is closed or closing."""
         return self.transport.is_closing()
--- /dev/null
+++ b/medlarhollow/modelcheck/late_orders.py
@@ -0,0 +1,486 @@
+"""Model of an operator whose orders are executed late.
+
+An operator sends orders one after the other, each to a VM of its choice, and
+turns to another VM when it has waited long enough. VMs are suspended and
+resume, the link of a VM is cut and restored, and proposals arrive at the log
+as late as they like. `check_sender` and the replicated state machine are those
+of the product.
+"""
+
+import functools
+
+import attrs
+
+from ..admin.orders import check_sender
+from ..admin.orders import OrderSender
+from ..admin.orders import SENDER_PATIENCE_S
+from ..agreement import StateMachine
+from ..messages.records import Change
+from ..messages.records import EndEvacuation
+from ..messages.records import Move
+from ..messages.records import MoveState
+from ..messages.records import PutService
+from ..messages.records import RollBackMove
+from ..messages.records import Service
+from ..messages.records import StartEvacuation
+from ..messages.records import StartMove
+from ..settings.load import parse_settings
+from .search import explore
+
+__all__ = ["ORDER_KINDS", "Guards", "explore_late_orders"]
+
+_SETTINGS = parse_settings(
+    "[vm]\nname=a\ncluster=model\nregion=north\ndata_centre=north-a\n"
+    "[peer]\nlisten=127.0.0.1:1\nsecret_file=unused\n"
+    "[control]\nreplicas=127.0.0.1:1\n"
+)
+_DATA_CENTRE = "north-a"
+_SERVICE = "plots"
+_OPERATOR = "operator"
+# Copies of one order that the operator sends at most.
+_COPIES = 2
+# Longer than the time in which a repeated move counts as the same one.
+_MOVE_S = 20.0
+_GIVE_UP_S = SENDER_PATIENCE_S + 0.1
+# The shortest suspension that is noticed lasts half of the patience.
+_NOTICED_S = SENDER_PATIENCE_S / 2
+
+
+@attrs.frozen
+class Guards:
+    """Which of the protections against late orders are in force.
+
+    Attributes
+    ----------
+    binds : bool
+        Orders are bound to the revision at which they were read.
+    sees_close : bool
+        Orders of a caller that has closed its connection are rejected.
+    settles : bool
+        That check waits for a close that arrives with the order.
+    sees_suspension : bool
+        Orders that arrive around a suspension are rejected.
+    limits_age : bool
+        Orders that were held for long are rejected.
+    """
+
+    binds: bool = True
+    sees_close: bool = True
+    settles: bool = True
+    sees_suspension: bool = True
+    limits_age: bool = True
+
+
+@attrs.frozen
+class _OrderKind:
+    """Orders of a scenario and the property of the last one.
+
+    Attributes
+    ----------
+    initial : tuple
+        Changes executed before.
+    orders : tuple
+        Bodies of the orders, sent one after the other.
+    holds : callable
+        Returns whether a fleet state is right once all are acknowledged.
+    ends_moves : bool
+        Whether the leader rolls a move back after a while.
+    """
+
+    initial: tuple
+    orders: tuple
+    holds: object
+    ends_moves: bool = False
+
+
+_START_MOVE = StartMove(
+    Move(
+        service=_SERVICE,
+        to_version="2",
+        deadline_s=1e6,
+        cap=1.0,
+        step_s=0.1,
+    )
+)
+ORDER_KINDS = {
+    "end, then start an evacuation": _OrderKind(
+        (StartEvacuation(_DATA_CENTRE),),
+        (EndEvacuation(_DATA_CENTRE), StartEvacuation(_DATA_CENTRE)),
+        lambda state: _DATA_CENTRE in state.evacuations,
+    ),
+    "start, then end an evacuation": _OrderKind(
+        (),
+        (StartEvacuation(_DATA_CENTRE), EndEvacuation(_DATA_CENTRE)),
+        lambda state: _DATA_CENTRE not in state.evacuations,
+    ),
+    "move that is rolled back": _OrderKind(
+        (
+            PutService(
+                Service(_SERVICE, version="1", announce_sha256=bytes(32))
+            ),
+        ),
+        (_START_MOVE,),
+        lambda state: len(state.moves) == 1,
+        ends_moves=True,
+    ),
+}
+
+
+@attrs.frozen
+class _Copy:
+    """One copy of an order.
+
+    Attributes
+    ----------
+    order, vm : int
+        Index of the order and of the VM.
+    stage : str
+        ``sent``, ``arrived``, ``read``, ``bound``, ``proposed`` or ``done``.
+    is_closed : bool
+        Whether the operator has closed the connection.
+    is_close_seen : bool
+        Whether the close has arrived at the VM.
+    received_at : float
+        Time at which the VM read it.
+    next_revision : int
+        Next revision of the fleet state when the VM had confirmed it.
+    """
+
+    order: int
+    vm: int
+    stage: str = "sent"
+    is_closed: bool = False
+    is_close_seen: bool = False
+    received_at: float = 0.0
+    next_revision: int = 0
+
+
+@attrs.frozen
+class _Vm:
+    """Suspension and link of a VM; -1 as the time for a VM that runs."""
+
+    suspended_at: float = -1.0
+    resumed_at: float = float("-inf")
+    is_cut: bool = False
+
+
+@attrs.frozen
+class _World:
+    """State of the model.
+
+    Attributes
+    ----------
+    now : float
+        Time in seconds; it passes only while the operator or a move waits.
+    log : tuple
+        Executed changes as (order or -1 for a roll-back, next revision,
+        time).
+    acknowledged : int
+        Number of orders that the operator knows to be executed.
+    copies : tuple of _Copy
+        Copies of orders.
+    vms : tuple of _Vm
+        The VMs.
+    faults : int
+        Suspensions and cuts that may still begin.
+    """
+
+    now: float
+    log: tuple
+    acknowledged: int
+    copies: tuple
+    vms: tuple
+    faults: int
+
+
+def explore_late_orders(
+    kind, guards=None, vms=2, faults=1, limit_states=2_000_000
+):
+    """Explore one kind of orders.
+
+    Parameters
+    ----------
+    kind : str
+        Key of `ORDER_KINDS`.
+    guards : Guards or None
+        Protections in force; None for all.
+    vms, faults : int
+        Number of VMs, and of suspensions and cuts that may begin.
+    limit_states : int
+        Number of states after which the search ends incomplete.
+
+    Returns
+    -------
+    Exploration
+        A violation is an acknowledged order that is taken back.
+    """
+    model = _Model(ORDER_KINDS[kind], guards or Guards())
+    initial = _World(100.0, (), 0, (), (_Vm(),) * vms, faults)
+    return explore(
+        initial, model.list_steps, model.find_violation, limit_states
+    )
+
+
+class _Model:
+    def __init__(self, kind, guards):
+        self._kind = kind
+        self._guards = guards
+        self._execute = functools.lru_cache(maxsize=None)(
+            functools.partial(_execute, kind)
+        )
+
+    def find_violation(self, world):
+        if world.acknowledged < len(self._kind.orders):
+            return ""
+        state, _ = self._execute(world.log)
+        return "" if self._kind.holds(state) else "a late order was executed"
+
+    def list_steps(self, world):
+        yield from self._list_operator_steps(world)
+        for index, copy in enumerate(world.copies):
+            if world.vms[copy.vm].suspended_at < 0:
+                yield from self._list_vm_steps(world, index, copy)
+        yield from self._list_faults(world)
+        if self._kind.ends_moves:
+            yield from self._list_roll_backs(world)
+
+    def _list_operator_steps(self, world):
+        order = world.acknowledged
+        if order == len(self._kind.orders):
+            return
+        open_copies = [
+            (index, copy)
+            for index, copy in enumerate(world.copies)
+            if copy.order == order and not copy.is_closed
+        ]
+        if open_copies:
+            (index, copy) = open_copies[0]
+            if _may_time_pass(world):
+                seen = copy.stage != "sent" and not world.vms[copy.vm].is_cut
+                yield (
+                    f"operator gives up on vm {copy.vm}",
+                    _replace(
+                        world,
+                        index,
+                        is_closed=True,
+                        is_close_seen=seen,
+                        now=world.now + _GIVE_UP_S,
+                    ),
+                )
+            return
+        sent = sum(copy.order == order for copy in world.copies)
+        if sent < _COPIES:
+            for vm in range(len(world.vms)):
+                yield (
+                    f"operator sends order {order} to vm {vm}",
+                    attrs.evolve(
+                        world, copies=(*world.copies, _Copy(order, vm))
+                    ),
+                )
+
+    def _list_vm_steps(self, world, index, copy):
+        vm = world.vms[copy.vm]
+        name = f"order {copy.order} at vm {copy.vm}"
+        if copy.stage == "arrived":
+            yield (
+                f"{name} is read",
+                _replace(world, index, stage="read", received_at=world.now),
+            )
+        elif copy.stage == "read":
+            _, revision = self._execute(world.log)
+            yield (
+                f"{name} is bound",
+                _replace(
+                    world, index, stage="bound", next_revision=revision + 1
+                ),
+            )
+        elif copy.stage == "bound" and self._may_check(copy, vm):
+            is_accepted = self._is_accepted(world, copy, vm)
+            stage = "proposed" if is_accepted else "done"
+            yield (
+                f"{name} is {'proposed' if is_accepted else 'rejected'}",
+                _replace(world, index, stage=stage),
+            )
+
+    def _may_check(self, copy, vm):
+        """Return whether a close that arrived with the order is known."""
+        is_pending = copy.is_closed and not copy.is_close_seen
+        return not (is_pending and self._guards.settles) or vm.is_cut
+
+    def _is_accepted(self, world, copy, vm):
+        guards = self._guards
+        sender = OrderSender(
+            copy.received_at if guards.limits_age else world.now,
+            lambda: guards.sees_close and copy.is_close_seen,
+        )
+        resumed_at = vm.resumed_at if guards.sees_suspension else -1e9
+        return check_sender(sender, resumed_at, world.now).is_ok()
+
+    def _list_faults(self, world):
+        # A fault that ends before an order is sent has no effect.
+        may_begin = world.faults and any(
+            copy.stage != "done" for copy in world.copies
+        )
+        for number, vm in enumerate(world.vms):
+            if vm.suspended_at >= 0:
+                is_noticed = world.now - vm.suspended_at > _NOTICED_S
+                resumed_at = world.now if is_noticed else vm.resumed_at
+                yield (
+                    f"vm {number} resumes",
+                    _replace_vm(
+                        world,
+                        number,
+                        suspended_at=-1.0,
+                        resumed_at=resumed_at,
+                    ),
+                )
+            elif may_begin:
+                yield (
+                    f"vm {number} is suspended",
+                    _replace_vm(
+                        world, number, world.faults - 1, suspended_at=world.now
+                    ),
+                )
+            if vm.is_cut:
+                yield (
+                    f"link of vm {number} is restored",
+                    _replace_vm(world, number, is_cut=False),
+                )
+            elif may_begin and not _is_close_pending(world, number):
+                yield (
+                    f"link of vm {number} is cut",
+                    _replace_vm(world, number, world.faults - 1, is_cut=True),
+                )
+        for index, copy in enumerate(world.copies):
+            yield from self._list_deliveries(world, index, copy)
+
+    def _list_deliveries(self, world, index, copy):
+        name = f"order {copy.order} at vm {copy.vm}"
+        is_cut = world.vms[copy.vm].is_cut
+        if copy.stage == "sent" and not is_cut:
+            yield f"{name} arrives", _replace(world, index, stage="arrived")
+        elif copy.is_closed and not copy.is_close_seen and not is_cut:
+            yield (
+                f"{name} is closed",
+                _replace(world, index, is_close_seen=True),
+            )
+        if copy.stage == "proposed":
+            revision = copy.next_revision if self._guards.binds else 0
+            time_s = world.now if self._kind.ends_moves else 1.0
+            log = (*world.log, (copy.order, revision, time_s))
+            is_acknowledged = not copy.is_closed and not is_cut
+            yield (
+                f"{name} is executed",
+                _replace(
+                    world,
+                    index,
+                    stage="done",
+                    log=log,
+                    acknowledged=max(
+                        world.acknowledged,
+                        copy.order + 1 if is_acknowledged else 0,
+                    ),
+                ),
+            )
+
+    def _list_roll_backs(self, world):
+        state, _ = self._execute(world.log)
+        moves = [
+            move
+            for move in state.moves.values()
+            if move.state is MoveState.IN_PROGRESS
+        ]
+        is_held = any(
+            copy.stage in ("read", "bound")
+            and world.vms[copy.vm].suspended_at < 0
+            for copy in world.copies
+        )
+        if (
+            moves
+            and world.acknowledged
+            and not is_held
+            and _may_time_pass(world)
+        ):
+            now = world.now + _MOVE_S
+            yield (
+                "the move is rolled back",
+                attrs.evolve(world, log=(*world.log, (-1, 0, now)), now=now),
+            )
+
+
+def _is_close_pending(world, number):
+    """Return whether a close follows an order that arrived at a VM.
+
+    A link delivers both or none of them: an order whose close is cut off right
+    after its arrival looks like a new one.
+    """
+    return any(
+        copy.vm == number
+        and copy.stage != "sent"
+        and copy.is_closed
+        and not copy.is_close_seen
+        for copy in world.copies
+    )
+
+
+def _may_time_pass(world):
+    """Return whether all that happens at once has happened.
+
+    A link that is not cut delivers at once, and a VM that runs reads what has
+    arrived.
+    """
+    for copy in world.copies:
+        vm = world.vms[copy.vm]
+        is_close_pending = copy.is_closed and not copy.is_close_seen
+        if not vm.is_cut and (copy.stage == "sent" or is_close_pending):
+            return False
+        if copy.stage == "arrived" and vm.suspended_at < 0:
+            return False
+    return True
+
+
+def _replace(world, index, **changes):
+    """Return a world with changes of itself and of one copy."""
+    names = {field.name for field in attrs.fields(_World)}
+    own = {name: changes.pop(name) for name in names & changes.keys()}
+    copies = list(world.copies)
+    copy = attrs.evolve(copies[index], **changes)
+    if copy.stage == "done" and copy.is_closed:
+        copy = _Copy(copy.order, copy.vm, "done", True, True)
+    copies[index] = copy
+    return attrs.evolve(world, copies=tuple(copies), **own)
+
+
+def _replace_vm(world, number, faults=None, **changes):
+    vms = list(world.vms)
+    vms[number] = attrs.evolve(vms[number], **changes)
+    if faults is None:
+        faults = world.faults
+    return attrs.evolve(world, vms=tuple(vms), faults=faults)
+
+
+def _execute(kind, log):
+    """Return the fleet state after a log, and its revision."""
+    machine = StateMachine(_SETTINGS)
+    for body in kind.initial:
+        machine.execute(Change(author=_OPERATOR, body=body), 1.0)
+    for order, next_revision, time_s in log:
+        if order < 0:
+            body = _roll_back(machine.state)
+            change = Change(body=body)
+        else:
+            body = kind.orders[order]
+            change = Change(
+                author=_OPERATOR, next_revision=next_revision, body=body
+            )
+        machine.execute(change, time_s)
+    return machine.state, machine.state.revision
+
+
+def _roll_back(state):
+    move_id = next(
+        move.move_id
+        for move in state.moves.values()
+        if move.state is MoveState.IN_PROGRESS
+    )
+    return RollBackMove(move_id, "slow")
