--- a/medlarhollow/control/shares.py
+++ b/medlarhollow/control/shares.py
@@ -1,5 +1,6 @@
 """Leader task that divides rate and burst of accounts by demand."""
 
+import hashlib
 import math
 
 from ..configuration.shares import group_shares
@@ -19,6 +20,9 @@
 _MAX_REJECTED_FRACTION = 0.01
 # Relative tolerance for rounding errors.
 _TOLERANCE = 1e-6
+# Smallest burst of a share. Buckets that hold few tokens each keep fractions
+# that no request can use, and wait for reports before they refill.
+_MIN_BURST = 16.0
 
 
 def plan_shares(state, demand, leases, now):
@@ -71,8 +75,8 @@
         Demand by data centre.
     current : container of str
         Data centres that have a share now. If there are not enough tokens for
-        all, they take precedence over others with up to twice their demand
-        (hysteresis).
+        all, they keep theirs whatever the demand: while a share moves, the
+        account has fewer tokens.
 
     Returns
     -------
@@ -82,13 +86,14 @@
         not suffice for all data centres, those with the least demand get no
         share.
     """
-    count = min(len(weights), int(account.burst))
+    count = _count_shares(account, weights)
     chosen = sorted(
         weights,
         key=lambda data_centre: (
-            -weights[data_centre] * (2 if data_centre in current else 1),
             data_centre not in current,
-            data_centre,
+            -weights[data_centre],
+            # Spreads accounts without demand.
+            _hash(account.name, data_centre),
         ),
     )[:count]
     total = math.fsum(weights[data_centre] for data_centre in chosen)
@@ -109,6 +114,18 @@
     return shares
 
 
+def _hash(account, data_centre):
+    text = f"{account}/{data_centre}".encode()
+    return hashlib.blake2b(text, digest_size=8).digest()
+
+
+def _count_shares(account, data_centres):
+    """Return the number of data centres that share an account."""
+    if account.burst < 1:
+        return 0
+    return min(len(data_centres), max(1, int(account.burst / _MIN_BURST)))
+
+
 def _plan_account(state, name, shares, active, demand, leases, now):
     account = state.accounts[name]
     released = _release_unused(state, shares, active, leases, now)
@@ -237,8 +254,10 @@
     dividing all accounts in every round took most of the leader's time. False
     does not mean that a transfer is due.
     """
-    count = min(len(active), int(account.burst))
+    count = _count_shares(account, active)
     floor = _FLOOR_FRACTION * account.rate_per_s / max(1, count)
+    if _count_holders(shares) > count:
+        return False
     served = 0
     for data_centre in active:
         rate = _rate(shares, data_centre)
@@ -253,6 +272,8 @@
 
 def _is_transfer_due(account, shares, target, demand):
     floor = _FLOOR_FRACTION * account.rate_per_s / max(1, len(target))
+    if _count_holders(shares) > len(target) > 0:
+        return True
     if any(
         _rate(shares, data_centre) < floor / 2
         or _burst(shares, data_centre) < 1 - _TOLERANCE
@@ -274,6 +295,10 @@
     )
 
 
+def _count_holders(shares):
+    return sum(share.burst >= 1 - _TOLERANCE for share in shares.values())
+
+
 def _exceeds_share(average, rate):
     return (
         average.unmet_per_s > _MAX_REJECTED_FRACTION * average.rate_per_s
--- a/medlarhollow/limits/allocator.py
+++ b/medlarhollow/limits/allocator.py
@@ -15,6 +15,9 @@
 # at most 0.05%. The holder shortens a lease by 1%, and waits for the end of a
 # lease are extended by 1%.
 CLOCK_DRIFT_MARGIN = 0.01
+# Lease of tokens that count as spent when they are issued: several round trips
+# between regions. They may be spent as much later than the bucket counts them.
+IMMEDIATE_LEASE_S = 0.25
 
 
 class ShareAllocator:
@@ -95,6 +98,8 @@
                 bucket.settle(
                     report.batch_id, report.spent, report.closed, now
                 )
+        if request.immediate:
+            return self._issue_spent(bucket, request.tokens, now)
         return self._issue_batch(bucket, request.tokens, now)
 
     def share_epoch(self, now):
@@ -123,19 +128,33 @@
             )
         return self._share_epoch
 
+    def _issue_spent(self, bucket, tokens, now):
+        issued = bucket.issue_spent(tokens, now)
+        if issued:
+            self._last_batch_at = now
+        return TokenResponse(
+            tokens=issued,
+            lease_s=min(IMMEDIATE_LEASE_S, self._limits.batch_lease_s),
+            wait_s=self._wait_s(bucket, tokens, issued),
+            epoch=self._epoch,
+            settle_soon=bucket.is_refill_limited,
+        )
+
+    def _wait_s(self, bucket, tokens, issued):
+        if issued >= tokens:
+            return 0.0
+        return min(bucket.wait_s(1.0), self._limits.batch_lease_s)
+
     def _issue_batch(self, bucket, tokens, now):
         self._last_batch_id += 1
         lease_s = self._limits.batch_lease_s
         issued = bucket.issue(self._last_batch_id, tokens, lease_s, now)
         if issued:
             self._last_batch_at = now
-        wait_s = 0.0
-        if issued < tokens:
-            wait_s = min(bucket.wait_s(1.0), lease_s)
         return TokenResponse(
             tokens=issued,
             lease_s=lease_s,
-            wait_s=wait_s,
+            wait_s=self._wait_s(bucket, tokens, issued),
             epoch=self._epoch,
             batch_id=self._last_batch_id if issued else 0,
             settle_soon=bucket.is_refill_limited,
--- a/medlarhollow/limits/escrow.py
+++ b/medlarhollow/limits/escrow.py
@@ -32,8 +32,10 @@
     -----
     The bucket starts empty. Tokens of a batch are outstanding until the VM
     that received it reports them as spent or returns them, or until the lease
-    expires. Tokens spent in an interval were either outstanding or in the
-    level at its start, together at most `burst`, or were refilled since. So
+    expires. Those that are issued as spent are never outstanding; they count
+    at the time of their issue. Tokens spent in an interval were either
+    outstanding or in the level at its start, together at most `burst`, or were
+    refilled since. So
     at most ``burst + rate_per_s * interval`` tokens are spent in any
     interval, whichever requests, responses or reports are lost.
     """
@@ -105,9 +107,8 @@
             Tokens in the batch, at most those requested; 0 for no batch.
         """
         self.refill(now)
-        issued = min(tokens, self._level)
-        # A fraction of a token is useful only if the burst allows no more.
-        if issued <= 0 or issued < min(1.0, tokens, self._burst) - _ROUNDING:
+        issued = self._choose_amount(tokens)
+        if not issued:
             return 0.0
         self._level -= issued
         self._outstanding += issued
@@ -115,6 +116,29 @@
         heapq.heappush(self._expirations, (now + lease_s, batch_id))
         return issued
 
+    def issue_spent(self, tokens, now):
+        """Issue tokens that count as spent at once.
+
+        Outstanding tokens limit the refill of a small bucket until they are
+        reported; these do not.
+
+        Parameters
+        ----------
+        tokens : float
+            Tokens requested.
+        now : float
+            Monotonic time in seconds.
+
+        Returns
+        -------
+        float
+            Tokens issued, at most those requested.
+        """
+        self.refill(now)
+        issued = self._choose_amount(tokens)
+        self._level -= issued
+        return issued
+
     def settle(self, batch_id, spent, closed, now):
         """Apply a report on a batch.
 
@@ -168,6 +192,13 @@
                 self._release(batch.unspent)
         self._refill_until(now)
 
+    def _choose_amount(self, tokens):
+        issued = min(tokens, self._level)
+        # A fraction of a token is useful only if the burst allows no more.
+        if issued <= 0 or issued < min(1.0, tokens, self._burst) - _ROUNDING:
+            return 0.0
+        return issued
+
     def _refill_until(self, until):
         if until <= self._refilled_at:
             return
--- a/medlarhollow/limits/limiter.py
+++ b/medlarhollow/limits/limiter.py
@@ -306,11 +306,13 @@
     async def _acquire(self, account, queue, source, tokens):
         """Call one allocator, admit waiters; return the response or None."""
         called_at = clock.monotonic()
+        missing = len(queue.waiters) - queue.tokens.available(called_at)
         response = await self._client.acquire(
             source,
             TokenRequest(
                 account=account,
                 tokens=max(0.0, tokens),
+                immediate=0 < tokens <= missing,
                 vm=self._settings.vm.name,
                 incarnation=self._incarnation,
                 epoch=source.epoch,
--- a/medlarhollow/limits/tests/test_escrow.py
+++ b/medlarhollow/limits/tests/test_escrow.py
@@ -353,3 +353,41 @@
 
 def _response(tokens):
     return TokenResponse(tokens=tokens, lease_s=1.0, epoch=1, batch_id=1)
+
+
+def test_tokens_issued_as_spent_do_not_limit_the_refill():
+    """Guards small accounts within their limits: a token that counts as
+    outstanding until its lease ends blocks the refill of a small bucket."""
+    bucket = EscrowBucket(2.0, 2.0, 0.0)
+    bucket.refill(1.0)
+    assert bucket.issue_spent(1.0, 1.0) == 1.0
+    assert bucket.outstanding == 0.0
+    assert bucket.issue_spent(2.0, 1.5) == 2.0
+    assert bucket.issue_spent(1.0, 1.6) == 0.0
+    assert bucket.issue(1, 1.0, 0.6, 2.0) == 1.0
+    assert bucket.outstanding == 1.0
+
+
+@hypothesis.given(
+    st.lists(
+        st.tuples(st.floats(0.0, 0.5), st.integers(1, 4), st.booleans()),
+        max_size=60,
+    )
+)
+def test_tokens_issued_as_spent_stay_within_rate_and_burst(steps):
+    """Compares both ways to issue with a central bucket, at the time of the
+    issue and, for batches, at the latest time at which they are spent."""
+    bucket = EscrowBucket(RATE_PER_S, BURST, -10.0)
+    central = CentralBucket()
+    now = 0.0
+    spending = []
+    for number, (pause_s, tokens, is_spent) in enumerate(steps):
+        now += pause_s
+        if is_spent:
+            issued = bucket.issue_spent(float(tokens), now)
+            spending += [now] * round(issued)
+        else:
+            issued = bucket.issue(number, float(tokens), 0.6, now)
+            spending += [now + 0.6] * int(issued)
+    for spent_at in sorted(spending):
+        assert central.consume(spent_at)
--- a/medlarhollow/messages/records.py
+++ b/medlarhollow/messages/records.py
@@ -1042,6 +1042,7 @@
     batches: "tuple[BatchReport, ...]" = ()
     call_id: int = 0
     traceparent: str = ""
+    immediate: bool = False
 
 
 @attrs.frozen
