Slow down connections with many short chunks, and drop what nobody reads

The event loop stood still for 0.43 s: what a connection had still to parse was parsed at once when it was closed, although its request was over.

A connection that is closed here drops what it has not parsed; one that ends by itself is parsed in turns before it counts as ended; and a connection whose turn was limited by lines pauses for 0.05 s.

--- a/medlarhollow/entry/response_connector.py
+++ b/medlarhollow/entry/response_connector.py
@@ -13,9 +13,10 @@
 
 # Bytes and lines of one connection that are parsed before other connections
 # and timers get their turn. Parsing takes time for each chunk, which can be as
-# short as six bytes.
+# short as six bytes, so a connection with many lines is also slowed down.
 _TURN_BYTES = 16384
 _TURN_LINES = 128
+_LINES_PAUSE_S = 0.05
 
 
 class ResponseConnector(aiohttp.TCPConnector):
@@ -52,6 +53,9 @@
         # Received bytes that wait for their turn.
         self._backlog = b""
         self._is_turn_scheduled = False
+        # Whether the connection has ended behind the backlog, and its error.
+        self._has_ended = False
+        self._end_error = None
 
     @property
     def should_close(self):
@@ -77,30 +81,39 @@
         elif self._backlog or _turn_size(data) < len(data):
             self._backlog += data
             self._pause_transport_reading()
-            self._schedule_turn()
+            self._schedule_turn(0.0)
         else:
             self._receive(data)
 
     def resume_reading(self, resume_parser=True):
         """Continue once the body has room again."""
         super().resume_reading(resume_parser)
-        self._schedule_turn()
+        self._schedule_turn(0.0)
 
     def connection_lost(self, exc):
-        """Pass on what was received before the connection ended."""
-        data, self._backlog = self._backlog, b""
-        if data:
-            self._receive(data)
-        super().connection_lost(exc)
+        """End the response after what was received before."""
+        if self._backlog and self.transport is not None:
+            self._has_ended = True
+            self._end_error = exc
+            self._schedule_turn(0.0)
+        else:
+            self._backlog = b""
+            super().connection_lost(exc)
+
+    def close(self):
+        """Close the connection; what was received is of no use any more."""
+        self._backlog = b""
+        super().close()
+        self._finish_end()
 
     def _resume_transport_reading(self):
         if not self._backlog:
             super()._resume_transport_reading()
 
-    def _schedule_turn(self):
+    def _schedule_turn(self, pause_s):
         if self._backlog and not self._is_turn_scheduled:
             self._is_turn_scheduled = True
-            self._loop.call_soon(self._take_turn)
+            self._loop.call_later(pause_s, self._take_turn)
 
     def _take_turn(self):
         self._is_turn_scheduled = False
@@ -110,10 +123,18 @@
         data, self._backlog = self._backlog[:size], self._backlog[size:]
         self._receive(data)
         if self._backlog:
-            self._schedule_turn()
+            is_limited = size < _TURN_BYTES
+            self._schedule_turn(_LINES_PAUSE_S if is_limited else 0.0)
+        elif self._has_ended:
+            self._finish_end()
         elif not (self._reading_paused or self._buffer_paused):
             self._resume_transport_reading()
 
+    def _finish_end(self):
+        if self._has_ended:
+            self._has_ended = False
+            super().connection_lost(self._end_error)
+
     def _receive(self, data):
         try:
             own = self._boundary.count_own(data)
