--- a/medlarhollow/modelcheck/late_orders.py
+++ b/medlarhollow/modelcheck/late_orders.py
@@ -25,6 +25,13 @@
 from ..messages.records import StartEvacuation
 from ..messages.records import StartMove
 from ..settings.load import parse_settings
+from .order_world import Copy
+from .order_world import is_close_pending
+from .order_world import may_time_pass
+from .order_world import replace_copy
+from .order_world import replace_vm
+from .order_world import Vm
+from .order_world import World
 from .search import explore
 
 __all__ = ["ORDER_KINDS", "Guards", "explore_late_orders"]
@@ -126,73 +133,6 @@
 }
 
 
-@attrs.frozen
-class _Copy:
-    """One copy of an order.
-
-    Attributes
-    ----------
-    order, vm : int
-        Index of the order and of the VM.
-    stage : str
-        ``sent``, ``arrived``, ``read``, ``bound``, ``proposed`` or ``done``.
-    is_closed : bool
-        Whether the operator has closed the connection.
-    is_close_seen : bool
-        Whether the close has arrived at the VM.
-    received_at : float
-        Time at which the VM read it.
-    next_revision : int
-        Next revision of the fleet state when the VM had confirmed it.
-    """
-
-    order: int
-    vm: int
-    stage: str = "sent"
-    is_closed: bool = False
-    is_close_seen: bool = False
-    received_at: float = 0.0
-    next_revision: int = 0
-
-
-@attrs.frozen
-class _Vm:
-    """Suspension and link of a VM; -1 as the time for a VM that runs."""
-
-    suspended_at: float = -1.0
-    resumed_at: float = float("-inf")
-    is_cut: bool = False
-
-
-@attrs.frozen
-class _World:
-    """State of the model.
-
-    Attributes
-    ----------
-    now : float
-        Time in seconds; it passes only while the operator or a move waits.
-    log : tuple
-        Executed changes as (order or -1 for a roll-back, next revision,
-        time).
-    acknowledged : int
-        Number of orders that the operator knows to be executed.
-    copies : tuple of _Copy
-        Copies of orders.
-    vms : tuple of _Vm
-        The VMs.
-    faults : int
-        Suspensions and cuts that may still begin.
-    """
-
-    now: float
-    log: tuple
-    acknowledged: int
-    copies: tuple
-    vms: tuple
-    faults: int
-
-
 def explore_late_orders(
     kind, guards=None, vms=2, faults=1, limit_states=2_000_000
 ):
@@ -215,7 +155,7 @@
         A violation is an acknowledged order that is taken back.
     """
     model = _Model(ORDER_KINDS[kind], guards or Guards())
-    initial = _World(100.0, (), 0, (), (_Vm(),) * vms, faults)
+    initial = World(100.0, (), 0, (), (Vm(),) * vms, faults)
     return explore(
         initial, model.list_steps, model.find_violation, limit_states
     )
@@ -255,11 +195,11 @@
         ]
         if open_copies:
             (index, copy) = open_copies[0]
-            if _may_time_pass(world):
+            if may_time_pass(world):
                 seen = copy.stage != "sent" and not world.vms[copy.vm].is_cut
                 yield (
                     f"operator gives up on vm {copy.vm}",
-                    _replace(
+                    replace_copy(
                         world,
                         index,
                         is_closed=True,
@@ -274,7 +214,7 @@
                 yield (
                     f"operator sends order {order} to vm {vm}",
                     attrs.evolve(
-                        world, copies=(*world.copies, _Copy(order, vm))
+                        world, copies=(*world.copies, Copy(order, vm))
                     ),
                 )
 
@@ -284,13 +224,15 @@
         if copy.stage == "arrived":
             yield (
                 f"{name} is read",
-                _replace(world, index, stage="read", received_at=world.now),
+                replace_copy(
+                    world, index, stage="read", received_at=world.now
+                ),
             )
         elif copy.stage == "read":
             _, revision = self._execute(world.log)
             yield (
                 f"{name} is bound",
-                _replace(
+                replace_copy(
                     world, index, stage="bound", next_revision=revision + 1
                 ),
             )
@@ -299,7 +241,7 @@
             stage = "proposed" if is_accepted else "done"
             yield (
                 f"{name} is {'proposed' if is_accepted else 'rejected'}",
-                _replace(world, index, stage=stage),
+                replace_copy(world, index, stage=stage),
             )
 
     def _may_check(self, copy, vm):
@@ -327,7 +269,7 @@
                 resumed_at = world.now if is_noticed else vm.resumed_at
                 yield (
                     f"vm {number} resumes",
-                    _replace_vm(
+                    replace_vm(
                         world,
                         number,
                         suspended_at=-1.0,
@@ -337,19 +279,19 @@
             elif may_begin:
                 yield (
                     f"vm {number} is suspended",
-                    _replace_vm(
+                    replace_vm(
                         world, number, world.faults - 1, suspended_at=world.now
                     ),
                 )
             if vm.is_cut:
                 yield (
                     f"link of vm {number} is restored",
-                    _replace_vm(world, number, is_cut=False),
+                    replace_vm(world, number, is_cut=False),
                 )
-            elif may_begin and not _is_close_pending(world, number):
+            elif may_begin and not is_close_pending(world, number):
                 yield (
                     f"link of vm {number} is cut",
-                    _replace_vm(world, number, world.faults - 1, is_cut=True),
+                    replace_vm(world, number, world.faults - 1, is_cut=True),
                 )
         for index, copy in enumerate(world.copies):
             yield from self._list_deliveries(world, index, copy)
@@ -358,11 +300,14 @@
         name = f"order {copy.order} at vm {copy.vm}"
         is_cut = world.vms[copy.vm].is_cut
         if copy.stage == "sent" and not is_cut:
-            yield f"{name} arrives", _replace(world, index, stage="arrived")
+            yield (
+                f"{name} arrives",
+                replace_copy(world, index, stage="arrived"),
+            )
         elif copy.is_closed and not copy.is_close_seen and not is_cut:
             yield (
                 f"{name} is closed",
-                _replace(world, index, is_close_seen=True),
+                replace_copy(world, index, is_close_seen=True),
             )
         if copy.stage == "proposed":
             revision = copy.next_revision if self._guards.binds else 0
@@ -371,7 +316,7 @@
             is_acknowledged = not copy.is_closed and not is_cut
             yield (
                 f"{name} is executed",
-                _replace(
+                replace_copy(
                     world,
                     index,
                     stage="done",
@@ -399,7 +344,7 @@
             moves
             and world.acknowledged
             and not is_held
-            and _may_time_pass(world)
+            and may_time_pass(world)
         ):
             now = world.now + _MOVE_S
             yield (
@@ -408,57 +353,6 @@
             )
 
 
-def _is_close_pending(world, number):
-    """Return whether a close follows an order that arrived at a VM.
-
-    A link delivers both or none of them: an order whose close is cut off right
-    after its arrival looks like a new one.
-    """
-    return any(
-        copy.vm == number
-        and copy.stage != "sent"
-        and copy.is_closed
-        and not copy.is_close_seen
-        for copy in world.copies
-    )
-
-
-def _may_time_pass(world):
-    """Return whether all that happens at once has happened.
-
-    A link that is not cut delivers at once, and a VM that runs reads what has
-    arrived.
-    """
-    for copy in world.copies:
-        vm = world.vms[copy.vm]
-        is_close_pending = copy.is_closed and not copy.is_close_seen
-        if not vm.is_cut and (copy.stage == "sent" or is_close_pending):
-            return False
-        if copy.stage == "arrived" and vm.suspended_at < 0:
-            return False
-    return True
-
-
-def _replace(world, index, **changes):
-    """Return a world with changes of itself and of one copy."""
-    names = {field.name for field in attrs.fields(_World)}
-    own = {name: changes.pop(name) for name in names & changes.keys()}
-    copies = list(world.copies)
-    copy = attrs.evolve(copies[index], **changes)
-    if copy.stage == "done" and copy.is_closed:
-        copy = _Copy(copy.order, copy.vm, "done", True, True)
-    copies[index] = copy
-    return attrs.evolve(world, copies=tuple(copies), **own)
-
-
-def _replace_vm(world, number, faults=None, **changes):
-    vms = list(world.vms)
-    vms[number] = attrs.evolve(vms[number], **changes)
-    if faults is None:
-        faults = world.faults
-    return attrs.evolve(world, vms=tuple(vms), faults=faults)
-
-
 def _execute(kind, log):
     """Return the fleet state after a log, and its revision."""
     machine = StateMachine(_SETTINGS)
