--- a/medlarhollow/limits/tests/test_escrow.py
+++ b/medlarhollow/limits/tests/test_escrow.py
@@ -378,16 +378,18 @@
     """Compares both ways to issue with a central bucket, at the time of the
     issue and, for batches, at the latest time at which they are spent."""
     bucket = EscrowBucket(RATE_PER_S, BURST, -10.0)
-    central = CentralBucket()
     now = 0.0
     spending = []
     for number, (pause_s, tokens, is_spent) in enumerate(steps):
         now += pause_s
         if is_spent:
-            issued = bucket.issue_spent(float(tokens), now)
-            spending += [now] * round(issued)
+            spending.append((now, bucket.issue_spent(float(tokens), now)))
         else:
             issued = bucket.issue(number, float(tokens), 0.6, now)
-            spending += [now + 0.6] * int(issued)
-    for spent_at in sorted(spending):
-        assert central.consume(spent_at)
+            spending.append((now + 0.6, issued))
+    level, filled_at = BURST, 0.0
+    for spent_at, amount in sorted(spending):
+        refill = RATE_PER_S * (spent_at - filled_at)
+        level = min(BURST, level + refill) - amount
+        filled_at = spent_at
+        assert level >= -1e-6
