Bound what one connection makes a process read, run and write

Cause: reading resumed after each finished response whatever was queued; one read of 256 KB was parsed into requests at once; responses that nobody read did not stop the next ones; a response behind a slow one was buffered without a limit, so that an endless body of a server filled the memory; a peer that read nothing kept its connection for good.

Ruled out: the log and the parser alone. The memory is that of parsed requests and of responses in buffers.

Change: reads of 16 KiB, parsed in steps of 2 KiB while less than 32 requests of the connection and 1,024 of the listener wait; no request starts while responses are unread; 64 KiB of responses wait for earlier ones, then their writers do; a peer that reads nothing for the stall timeout is disconnected; bodies that nobody took hold 256 KiB a connection, 64 KiB once all hold 16 MiB. Requests behind eight refused ones run one after the other, at one refusal in 5 ms for the connections of a listener together. The limits of heads are a class of their own.

--- a/medlarhollow/daemon/connection_limits.py
+++ b/medlarhollow/daemon/connection_limits.py
@@ -48,6 +48,11 @@
             return self._settings.keep_alive_s
         return limits.idle_timeout_s + _KEEP_ALIVE_MARGIN_S
 
+    @property
+    def stall_timeout_s(self):
+        """Time for which a peer may read nothing, in seconds."""
+        return self._settings.stall_timeout_s
+
     @property
     def _replicated(self):
         return (
--- a/medlarhollow/daemon/http.py
+++ b/medlarhollow/daemon/http.py
@@ -2,14 +2,17 @@
 
 import asyncio
 import contextlib
-import functools
 import logging
 
 import uvicorn
 
 from ..settings.generated import EntrySettings
 from ..transport import parse_address
+from .bounded_reader import BoundedReader
+from .bounded_reader import READ_BYTES
 from .protocol import HttpProtocol
+from .read_ahead import RefusalPacer
+from .read_ahead import SharedReadAhead
 
 __all__ = ["HttpServer"]
 
@@ -45,7 +48,7 @@
                 app,
                 host=host,
                 port=port,
-                http=functools.partial(HttpProtocol, limits=limits),
+                http=_make_protocol_factory(limits),
                 ws="none",
                 log_config=None,
                 access_log=False,
@@ -115,3 +118,16 @@
             async with asyncio.timeout(limit_s):
                 while self.server_state.connections or self.server_state.tasks:
                     await asyncio.sleep(_POLL_INTERVAL_S)
+
+
+def _make_protocol_factory(limits):
+    """Return a function that makes the protocol of a new connection."""
+    read_ahead = SharedReadAhead()
+    pacer = RefusalPacer()
+    buffer = bytearray(READ_BYTES)
+
+    def make_protocol(**options):
+        protocol = HttpProtocol(limits, read_ahead, pacer, **options)
+        return BoundedReader(protocol, buffer)
+
+    return make_protocol
--- a/medlarhollow/daemon/protocol.py
+++ b/medlarhollow/daemon/protocol.py
@@ -3,108 +3,121 @@
 import asyncio
 import functools
 import itertools
-import json
-import socket
-import struct
-
-from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
 from .disconnect import has_disconnected
+from .head_limits import HeadLimitProtocol
 from .response_pipeline import ResponsePipeline
 
 __all__ = ["HttpProtocol"]
 
-# SO_LINGER enabled with a timeout of 0: close() resets the connection.
-_ZERO_LINGER = struct.pack("ii", 1, 0)
 # Safe methods (RFC 9110, section 9.2.1), whose requests run concurrently with
 # earlier ones, and the limit of concurrent requests per connection.
 _SAFE_METHODS = frozenset({"GET", "HEAD"})
 _MAX_CONCURRENT = 8
 # Limit of queued requests per connection above which reading is paused.
 _MAX_READ_AHEAD = 32
+# Data parsed at once, after which the limits are checked.
+_PARSE_STEP_BYTES = 2048
+# Consecutive refusals with further requests behind them, after which the
+# requests of a connection are delayed.
+_MAX_PROMPT_REFUSALS = 8
 # Time between disconnect checks of a connection whose reading is paused.
 _DISCONNECT_CHECK_S = 0.1
-# Time for a refused caller to read the response and close.
-_REFUSAL_LINGER_S = 1.0
-_REFUSALS = {
-    "too large": (b"431 Request Header Fields Too Large", "too_large"),
-    "slow": (b"408 Request Timeout", "deadline_exceeded"),
-    "malformed": (b"400 Bad Request", "bad_request"),
-}
 
 
-class HttpProtocol(HttpToolsProtocol):
-    """Limit request heads and serve pipelined requests concurrently.
+class HttpProtocol(HeadLimitProtocol):
+    """Serve pipelined requests concurrently and keep few of them.
 
     Parameters
     ----------
     limits : EntrySettings or ConnectionLimits
-        Provides `header_limit_bytes`, `head_timeout_s` and `keep_alive_s`.
+        Provides `header_limit_bytes`, `head_timeout_s`, `keep_alive_s` and
+        `stall_timeout_s`.
+    read_ahead : SharedReadAhead
+        Counts the queued requests of all connections of the listener.
+    pacer : RefusalPacer
+        Delays requests behind refused ones.
     **options
         For the base class.
 
     Notes
     -----
-    The base class limits neither the size nor the duration of a head. The
-    refusals of such heads state an outcome like all others; it is "not-run",
-    because they are sent before the request runs.
-
-    The base class serves pipelined requests one after the other. Here,
+    The HTTP server serves pipelined requests one after the other. Here,
     requests with a safe method run concurrently, and their responses are
     buffered to keep the order. Other requests wait until all earlier ones are
     answered, because a caller resends them if the connection ends before.
+
+    A connection is read only as far as its requests can be started, its
+    responses are read and the body of its last request is taken, so that a
+    peer cannot make this process keep more than a few requests.
     """
 
-    def __init__(self, limits, **options):
-        super().__init__(**options)
-        self._limits = limits
-        self._head_timer = None
+    def __init__(self, limits, read_ahead, pacer, **options):
+        super().__init__(limits, **options)
+        self._read_ahead = read_ahead
+        self._pacer = pacer
+        self._unparsed = bytearray()
+        self._held_body_bytes = 0
+        self._refusals = 0
+        self._delay_timer = None
+        self._unread_timer = None
         self._disconnect_timer = None
         self._closed_event = asyncio.Event()
-        self._in_head = False
-        self._received_head_bytes = 0
-        self._parsed_head_bytes = 0
         self._responses = None
         self._defer_start = False
-        self._fault = "malformed"
-        self._is_refused = False
 
     def connection_made(self, transport):
-        """Start the timeout of the first head."""
+        """Prepare the responses and the timeout of idle connections."""
         super().connection_made(transport)
-        self._responses = ResponsePipeline(transport)
+        self._responses = ResponsePipeline(
+            transport, self.flow, self._parse_received
+        )
         self.timeout_keep_alive = self._limits.keep_alive_s
-        self._start_head_timer()
 
     def connection_lost(self, exc):
-        """Notify running requests; the base class notifies only the last."""
-        self._stop_head_timer()
-        if self._disconnect_timer is not None:
-            self._disconnect_timer.cancel()
+        """Notify running requests; the HTTP server notifies only the last."""
+        for timer in (
+            self._disconnect_timer,
+            self._delay_timer,
+            self._unread_timer,
+        ):
+            if timer is not None:
+                timer.cancel()
         self._closed_event.set()
+        self._unparsed.clear()
+        self._read_ahead.waiting -= len(self.pipeline)
+        self._read_ahead.body_bytes -= self._held_body_bytes
+        self._held_body_bytes = 0
+        self.pipeline.clear()
         super().connection_lost(exc)
         for response in self._responses:
             if not response.cycle.response_complete:
                 response.cycle.disconnected = True
                 response.cycle.message_event.set()
+            response.wake()
 
     def data_received(self, data):
-        """Parse data and enforce the size limit on an incomplete head."""
+        """Parse data as far as the limits permit."""
         if self._is_refused or self.transport.is_closing():
             return
-        started_in_head = self._in_head
-        super().data_received(data)
-        if self.flow.read_paused and self._disconnect_timer is None:
-            self._start_disconnect_timer()
-        if not (started_in_head and self._in_head):
-            return
-        self._received_head_bytes += len(data)
-        if (
-            self._received_head_bytes > self._limits.header_limit_bytes
-            and not self._is_refused
-        ):
-            self._fault = "too large"
-            self.send_400_response("")
+        self._unparsed += data
+        self._parse_received()
+
+    def pause_writing(self):
+        """Limit the time for which the peer reads nothing."""
+        super().pause_writing()
+        self._watch_unread()
+
+    def resume_writing(self):
+        """Continue with requests that waited for the peer to read."""
+        super().resume_writing()
+        self._start_waiting()
+        self._parse_received()
+
+    def timeout_keep_alive_handler(self):
+        """Close an idle connection, even if its peer reads nothing."""
+        super().timeout_keep_alive_handler()
+        self._watch_unread()
 
     def on_message_begin(self):
         """Reset the byte counts and start the timeout of a new head."""
@@ -116,25 +129,9 @@
             "medlarhollow.may_close": self.may_close,
             "medlarhollow.wait_closed": self._closed_event.wait,
         }
-        self._in_head = True
-        self._received_head_bytes = self._parsed_head_bytes = 0
-        if self._head_timer is None:
-            self._start_head_timer()
-
-    def on_url(self, url):
-        """Count and store a part of the request target."""
-        self._count_head_bytes(len(url))
-        super().on_url(url)
-
-    def on_header(self, name, value):
-        """Count and store a header."""
-        self._count_head_bytes(len(name) + len(value))
-        super().on_header(name, value)
 
     def on_headers_complete(self):
         """Queue the request and start it if permitted."""
-        self._in_head = False
-        self._stop_head_timer()
         self._defer_start = True
         super().on_headers_complete()
         self._defer_start = False
@@ -176,60 +173,81 @@
         """Return whether the connection is closed or closing."""
         return self.transport.is_closing()
 
-    def send_400_response(self, msg):
-        """Refuse a head, or abort if requests are pending."""
-        if len(self._responses):
-            # The request may be running, so no outcome stated here would be
-            # reliable.
-            self.abort()
+    def _parse_received(self):
+        """Parse what was received and read on, both as far as permitted."""
+        if self.transport.is_closing():
+            self._unparsed.clear()
             return
-        status, kind = _REFUSALS[self._fault]
-        body = json.dumps(
-            {
-                "error": kind,
-                "outcome": "not-run",
-                "detail": f"the request head is {self._fault}",
-            }
-        ).encode()
-        self.transport.write(
-            b"HTTP/1.1 %b\r\ncontent-type: application/json\r\n"
-            b"x-medlarhollow-outcome: not-run\r\ncontent-length: %d\r\n"
-            b"connection: close\r\n\r\n%b" % (status, len(body), body)
-        )
-        # Closing while received data is unread would reset the connection
-        # before the caller has read the refusal.
-        self._is_refused = True
-        self._stop_head_timer()
-        self.transport.write_eof()
-        self.loop.call_later(_REFUSAL_LINGER_S, self.transport.close)
+        self._count_held_body()
+        while self._unparsed and self._may_parse():
+            data = bytes(self._unparsed[:_PARSE_STEP_BYTES])
+            del self._unparsed[:_PARSE_STEP_BYTES]
+            super().data_received(data)
+            self._count_held_body()
+            if self._is_refused or self.transport.is_closing():
+                self._unparsed.clear()
+                return
+        if self._may_parse():
+            self._resume_head_timer()
+            self.flow.resume_reading()
+            return
+        self._suspend_head_timer()
+        self.flow.pause_reading()
+        if self._disconnect_timer is None:
+            self._start_disconnect_timer()
 
-    def abort(self):
-        """Reset the connection, so that no response appears complete.
+    def _count_held_body(self):
+        held = 0 if self.cycle is None else len(self.cycle.body)
+        self._read_ahead.body_bytes += held - self._held_body_bytes
+        self._held_body_bytes = held
 
-        A regular close marks the end of a complete response to HTTP/1.0.
-        """
-        connection = self.transport.get_extra_info("socket")
-        if connection is not None and not self.transport.is_closing():
-            connection.setsockopt(
-                socket.SOL_SOCKET, socket.SO_LINGER, _ZERO_LINGER
-            )
-        self.transport.abort()
+    def _may_parse(self):
+        if self.cycle is not None and self.cycle.more_body:
+            return self._read_ahead.may_hold_body(len(self.cycle.body))
+        if self.flow.write_paused:
+            return False
+        if not self.pipeline:
+            return True
+        return (
+            len(self.pipeline) < _MAX_READ_AHEAD
+            and not self._read_ahead.is_exhausted
+        )
+
+    def _has_pending_requests(self):
+        return bool(len(self._responses))
 
     def _add_response(self):
         """Queue the response of a request and start it if permitted."""
         cycle = self.cycle
         response = self._responses.add(cycle)
-        cycle.transport = response
+        cycle.transport = cycle.flow = response
         cycle.on_response = functools.partial(self._finish_response, response)
-        if len(self._responses) == 1 or self._may_start(response):
+        cycle.scope["extensions"].update(
+            {
+                "medlarhollow.mark_forwarded": response.mark_forwarded,
+                "medlarhollow.wait_turn": response.wait_turn,
+            }
+        )
+        self._read_ahead.waiting += 1
+        self._start_waiting()
+
+    def _start_waiting(self):
+        """Start the waiting requests that may start now."""
+        for response in list(self._responses):
+            if response.is_started:
+                continue
+            if self._delay_timer is not None or self.flow.write_paused:
+                return
+            if not self._responses.is_first(response) and not self._may_start(
+                response
+            ):
+                return
             self._start_next(response)
-        elif len(self.pipeline) < _MAX_READ_AHEAD:
-            # The base class pauses reading while a request is queued.
-            self.flow.resume_reading()
 
     def _may_start(self, response):
         return (
-            response.cycle.scope["method"] in _SAFE_METHODS
+            self._refusals < _MAX_PROMPT_REFUSALS
+            and response.cycle.scope["method"] in _SAFE_METHODS
             and len(self._responses) <= _MAX_CONCURRENT
             and all(
                 earlier.is_started
@@ -251,36 +269,56 @@
 
     def _start_next(self, response):
         response.is_started = True
+        self._read_ahead.waiting -= 1
         cycle, app = self.pipeline.pop()
-        self._start_asgi_task(cycle, app)
-        if not self.pipeline:
-            self.flow.resume_reading()
+        self._start_asgi_task(cycle, _observe_status(app, response))
 
     def _finish_response(self, response):
         self.server_state.total_requests += 1
         self._responses.finish(response)
         if self.transport.is_closing():
+            self._watch_unread()
             return
         self._unset_keepalive_if_required()
-        for waiting in list(self._responses):
-            if waiting.is_started:
-                continue
-            if not self._responses.is_first(waiting) and not self._may_start(
-                waiting
-            ):
-                break
-            self._start_next(waiting)
-        self.flow.resume_reading()
+        self._delay_after_refusal(response)
+        self._start_waiting()
+        self._parse_received()
         if not len(self._responses):
             self.timeout_keep_alive_task = self.loop.call_later(
                 self.timeout_keep_alive, self.timeout_keep_alive_handler
             )
 
-    def _count_head_bytes(self, size):
-        self._parsed_head_bytes += size
-        if self._parsed_head_bytes > self._limits.header_limit_bytes:
-            self._fault = "too large"
-            raise ValueError("the request head is too large")
+    def _delay_after_refusal(self, response):
+        """Delay further requests if one after the other is refused."""
+        if not response.is_refusal:
+            self._refusals = 0
+        elif self.pipeline or self._unparsed:
+            self._refusals += 1
+        if self._refusals >= _MAX_PROMPT_REFUSALS and not self._delay_timer:
+            self._delay_timer = self.loop.call_later(
+                self._pacer.reserve(self.loop.time()), self._end_delay
+            )
+
+    def _end_delay(self):
+        self._delay_timer = None
+        self._start_waiting()
+        self._parse_received()
+
+    def _watch_unread(self):
+        """Abort the connection if its peer reads nothing for a while."""
+        if self._unread_timer is None and (
+            unread_bytes := self.transport.get_write_buffer_size()
+        ):
+            self._unread_timer = self.loop.call_later(
+                self._limits.stall_timeout_s, self._check_unread, unread_bytes
+            )
+
+    def _check_unread(self, unread_bytes):
+        self._unread_timer = None
+        if self.transport.get_write_buffer_size() >= unread_bytes:
+            self.abort()
+        else:
+            self._watch_unread()
 
     def _start_disconnect_timer(self):
         self._disconnect_timer = self.loop.call_later(
@@ -297,22 +335,16 @@
         else:
             self._start_disconnect_timer()
 
-    def _start_head_timer(self):
-        self._head_timer = self.loop.call_later(
-            self._limits.head_timeout_s, self._handle_head_timeout
-        )
 
-    def _stop_head_timer(self):
-        if self._head_timer is not None:
-            self._head_timer.cancel()
-            self._head_timer = None
+def _observe_status(app, response):
+    """Return an application whose status is kept with its response."""
 
-    def _handle_head_timeout(self):
-        self._head_timer = None
-        if self._is_refused or self.transport.is_closing():
-            return
-        if self._in_head:
-            self._fault = "slow"
-            self.send_400_response("")
-        else:
-            self.transport.close()
+    async def observe(scope, receive, send):
+        async def send_and_observe(message):
+            if message["type"] == "http.response.start":
+                response.status = message["status"]
+            await send(message)
+
+        await app(scope, receive, send_and_observe)
+
+    return observe
--- /dev/null
+++ b/medlarhollow/daemon/read_ahead.py
@@ -0,0 +1,78 @@
+"""Limits that the connections of a listener share."""
+
+import math
+
+import attrs
+
+__all__ = ["RefusalPacer", "SharedReadAhead"]
+
+# Requests that wait behind others on their connections.
+_SHARED_READ_AHEAD_LIMIT = 1024
+# Body bytes that a connection may always hold, that it may hold while all of
+# them hold less than the third limit. A close is detected only behind data
+# that was read.
+_BODY_BYTES = 65536
+_LARGE_BODY_BYTES = 262144
+_SHARED_BODY_BYTES = 16 * 1024 * 1024
+# Interval between the refusals of all connections that pipeline requests of
+# which one after the other is refused.
+_REFUSAL_INTERVAL_S = 0.005
+# Longest delay of a request behind refused ones.
+_MAX_DELAY_S = 5.0
+
+
+@attrs.define
+class SharedReadAhead:
+    """Count what the connections of a listener hold and nobody took yet.
+
+    Attributes
+    ----------
+    waiting : int
+        Requests that were parsed and not started.
+    body_bytes : int
+        Bytes of bodies.
+    """
+
+    waiting: int = 0
+    body_bytes: int = 0
+
+    @property
+    def is_exhausted(self):
+        """Whether a connection may read ahead no further."""
+        return self.waiting >= _SHARED_READ_AHEAD_LIMIT
+
+    def may_hold_body(self, held_bytes):
+        """Return whether a connection may read on within a body.
+
+        Parameters
+        ----------
+        held_bytes : int
+            What it holds of the body.
+        """
+        if self.body_bytes >= _SHARED_BODY_BYTES:
+            return held_bytes <= _BODY_BYTES
+        return held_bytes <= _LARGE_BODY_BYTES
+
+
+@attrs.define
+class RefusalPacer:
+    """Spread the requests of connections that pipeline refused requests."""
+
+    _next_at: float = -math.inf
+
+    def reserve(self, now):
+        """Return the delay of the next request of a connection.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic time in seconds.
+
+        Returns
+        -------
+        float
+            Seconds from now, up to `_MAX_DELAY_S`.
+        """
+        self._next_at = max(now, self._next_at) + _REFUSAL_INTERVAL_S
+        self._next_at = min(self._next_at, now + _MAX_DELAY_S)
+        return self._next_at - now
--- a/medlarhollow/daemon/response_pipeline.py
+++ b/medlarhollow/daemon/response_pipeline.py
@@ -1,12 +1,19 @@
 """Pipelined responses of one connection, kept in request order."""
 
+import asyncio
 import collections
 
 __all__ = ["PipelinedResponse", "ResponsePipeline"]
 
+# Bytes of responses that wait for earlier ones, above which no more of them
+# are accepted.
+_BUFFER_LIMIT_BYTES = 65536
+
 
 class PipelinedResponse:
-    """Transport of one response; buffers it until it is first in line.
+    """Transport and flow control of one response.
+
+    The response is buffered until it is first in line.
 
     Parameters
     ----------
@@ -20,9 +27,30 @@
         self._pipeline = pipeline
         self._buffer = []
         self._must_close = False
+        self._turn = asyncio.Event()
         self.cycle = cycle
         self.is_started = False
         self.is_done = False
+        self.status = 0
+        self._is_forwarded = False
+
+    @property
+    def is_refusal(self):
+        """Whether this process refused the request."""
+        return not self._is_forwarded and (
+            400 <= self.status < 500 or self.status == 503
+        )
+
+    @property
+    def write_paused(self):
+        """Whether the writer has to wait in :meth:`drain`."""
+        if self._pipeline.is_first(self):
+            return self._pipeline.flow.write_paused
+        return self._pipeline.is_full and not self._turn.is_set()
+
+    def mark_forwarded(self):
+        """Note that the response is one of a backend server."""
+        self._is_forwarded = True
 
     def write(self, data):
         """Write data, or buffer it while earlier responses are pending."""
@@ -30,6 +58,21 @@
             self._pipeline.transport.write(data)
         else:
             self._buffer.append(data)
+            self._pipeline.buffered_bytes += len(data)
+
+    async def drain(self):
+        """Wait until more may be written or the connection has ended."""
+        await self.wait_turn()
+        await self._pipeline.flow.drain()
+
+    async def wait_turn(self):
+        """Wait for earlier responses, unless the buffer has space."""
+        if not self._pipeline.is_first(self) and self._pipeline.is_full:
+            await self._turn.wait()
+
+    def resume_reading(self):
+        """Continue to read the connection where its limits permit."""
+        self._pipeline.resume_reading()
 
     def close(self):
         """Close the connection after this response."""
@@ -45,10 +88,17 @@
     def flush(self):
         """Write the buffered data after the response has become first."""
         if self._buffer:
-            self._pipeline.transport.write(b"".join(self._buffer))
+            data = b"".join(self._buffer)
             self._buffer.clear()
+            self._pipeline.buffered_bytes -= len(data)
+            self._pipeline.transport.write(data)
         if self._must_close:
             self._pipeline.transport.close()
+        self.wake()
+
+    def wake(self):
+        """End the waits for earlier responses."""
+        self._turn.set()
 
 
 class ResponsePipeline:
@@ -58,10 +108,17 @@
     ----------
     transport : asyncio.Transport
         The connection.
+    flow : uvicorn.protocols.http.flow_control.FlowControl
+        Its flow control.
+    resume_reading : callable
+        Continues to read the connection where its limits permit.
     """
 
-    def __init__(self, transport):
+    def __init__(self, transport, flow, resume_reading):
         self.transport = transport
+        self.flow = flow
+        self.resume_reading = resume_reading
+        self.buffered_bytes = 0
         self._pending = collections.deque()
 
     def __len__(self):
@@ -75,6 +132,11 @@
         """PipelinedResponse : response to the most recent request."""
         return self._pending[-1]
 
+    @property
+    def is_full(self):
+        """Whether responses that wait for earlier ones fill the buffer."""
+        return self.buffered_bytes >= _BUFFER_LIMIT_BYTES
+
     def add(self, cycle):
         """Append the response of a new request and return it."""
         response = PipelinedResponse(self, cycle)
--- a/medlarhollow/entry/caller.py
+++ b/medlarhollow/entry/caller.py
@@ -186,17 +186,13 @@
             await self._discard_read_chunks(index)
 
     async def start_response(self, status, headers):
-        """Send the status and the headers of the response."""
-        if not self._complete:
-            # Otherwise the rest of the request body would have to be read.
-            headers = [*headers, (b"connection", b"close")]
-        await self._write(
-            {
-                "type": "http.response.start",
-                "status": status,
-                "headers": headers,
-            }
+        """Send the status and the headers of a backend server's response."""
+        mark_forwarded = self._scope.get("extensions", {}).get(
+            "medlarhollow.mark_forwarded"
         )
+        if mark_forwarded is not None:
+            mark_forwarded()
+        await self._start(status, headers)
 
     async def write_body(self, chunk):
         """Send a chunk of the response body.
@@ -217,7 +213,7 @@
 
     async def send_response(self, response):
         """Send a `CompleteResponse`."""
-        await self.start_response(response.status, list(response.headers))
+        await self._start(response.status, list(response.headers))
         body = b"" if self.method == "HEAD" else response.body
         self._response_ended = True
         await self._write({"type": "http.response.body", "body": body})
@@ -237,6 +233,18 @@
         while (await self._receive())["type"] != "http.disconnect":
             pass
 
+    async def _start(self, status, headers):
+        if not self._complete:
+            # Otherwise the rest of the request body would have to be read.
+            headers = [*headers, (b"connection", b"close")]
+        await self._write(
+            {
+                "type": "http.response.start",
+                "status": status,
+                "headers": headers,
+            }
+        )
+
     def _has_capacity(self):
         return (
             self._complete
@@ -307,6 +315,12 @@
             raise CallerDisconnectedError
 
     async def _write(self, message):
+        wait_turn = self._scope.get("extensions", {}).get(
+            "medlarhollow.wait_turn"
+        )
+        if wait_turn is not None:
+            # The caller does not stall while earlier responses are pending.
+            await wait_turn()
         try:
             async with asyncio.timeout(self._settings.stall_timeout_s):
                 await self._send(message)
