Bound the records of backend servers in number, size and by sender

Cause: each identifier is kept for its lease and ten leases after it, so that a server that left is not restored; nothing bounded their number or their size.

Change: `backends.record_limit` records (8,192), of which one service may have a half and one sender an eighth; beyond it a new identifier gets 503, and known servers are renewed. No record is dropped for another one, so a server that leaves is not forgotten. A record of more than 2,048 bytes is rejected with 400.

Ruled out: dropping the oldest records, since a forgotten server that left would get requests again from its late announcements.

Tests: membership/record_shares (the limit does not exist on the code before, and the record of 4 KB was accepted there); daemon/flooding_clients:: flood_of_server_identifiers_keeps_the_known_servers with a sender in a process of its own.

--- a/medlarhollow/daemon/tests/fleets.py
+++ b/medlarhollow/daemon/tests/fleets.py
@@ -136,9 +136,14 @@
 
 
 @contextlib.asynccontextmanager
-async def run_fleet(folder, behaviour, replicas=1):
+async def run_fleet(folder, behaviour, replicas=1, options=None):
     """Run a fleet; yield it once requests are served."""
-    fleet = LocalFleet(folder, replicas, (("north", "north-a", 2),), OPTIONS)
+    fleet = LocalFleet(
+        folder,
+        replicas,
+        (("north", "north-a", 2),),
+        OPTIONS | (options or {}),
+    )
     fleet.start()
     try:
         async with (
--- a/medlarhollow/daemon/tests/test_flooding_clients.py
+++ b/medlarhollow/daemon/tests/test_flooding_clients.py
@@ -108,3 +108,55 @@
         assert process.exit_code is None
         assert peak_memory_bytes(process.pid) < limit
         assert max(durations) < RESPONSE_BOUND_S
+
+
+def make_announcement(server_id):
+    body = (
+        b'{"server_id": "%b", "service": "plots", "version": "1",'
+        b' "address": "127.0.0.1:9", "slots": 1, "leaving": true}' % server_id
+    )
+    return (
+        b"POST /v1/announce HTTP/1.1\r\nHost: x\r\n"
+        b"Authorization: Bearer credential\r\nContent-Length: %d\r\n\r\n%b"
+    ) % (len(body), body)
+
+
+async def announce_once(address, server_id):
+    """Return the status of one announcement."""
+    host, port = address.split(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    writer.write(make_announcement(server_id))
+    status_line = await reader.readline()
+    writer.close()
+    return int(status_line.split()[1])
+
+
+async def test_flood_of_server_identifiers_keeps_the_known_servers(tmp_path):
+    """Guards memory and the known servers against a sender of announcements
+    under ever new identifiers."""
+    options = {"backends": {"record_limit": "256"}}
+    request = make_announcement(b"#" * 8).replace(b"#" * 8, b"%08d")
+    async with run_fleet(
+        tmp_path, respond(b"plots"), options=options
+    ) as fleet:
+        addresses = fleet.local_fleet.addresses["north-a-1"]
+        flood = asyncio.create_task(
+            run_flood(addresses.announce, request, 2, True)
+        )
+        others = []
+        while not flood.done():
+            others.append(
+                asyncio.create_task(
+                    measure_response(
+                        f"http://{addresses.callers}/plots", {}, 200
+                    )
+                )
+            )
+            await asyncio.sleep(PAUSE_S)
+        assert max(await asyncio.gather(*others)) < RESPONSE_BOUND_S
+        assert await announce_once(addresses.announce, b"one more") == 503
+        assert await announce_once(addresses.announce, b"00000000") == 200
+        for name in ("north-a-1", "north-a-2"):
+            process = fleet.local_fleet.processes[name]
+            assert process.exit_code is None
+            assert peak_memory_bytes(process.pid) < ENTRY_MEMORY_BYTES
--- a/medlarhollow/entry/announce.py
+++ b/medlarhollow/entry/announce.py
@@ -121,12 +121,14 @@
     announcement_filter = AnnouncementFilter(vm.settings)
 
     async def announce(request):
-        accepted = _accept(await _read_body(request), request.headers)
+        source = request.client.host if request.client else ""
+        body = await _read_body(request)
+        accepted = _accept(body, request.headers, source)
         if accepted.is_err():
             return make_failure_response(accepted.err_value)
         return JSONResponse({"lease_s": vm.settings.backends.lease_s})
 
-    def _accept(body, headers):
+    def _accept(body, headers, source):
         parsed = body.and_then(parse_announcement)
         if parsed.is_err():
             return parsed
@@ -141,9 +143,11 @@
         if checked.is_err():
             return checked
         now = clock.monotonic()
-        passed = announcement_filter.check(checked.ok_value, now)
+        passed = vm.directory.check_capacity(
+            checked.ok_value, source
+        ).and_then(lambda server: announcement_filter.check(server, now))
         if passed.is_ok():
-            vm.directory.announce(passed.ok_value, now)
+            vm.directory.announce(passed.ok_value, now, source)
         return passed
 
     return Starlette(
--- a/medlarhollow/entry/registry.py
+++ b/medlarhollow/entry/registry.py
@@ -71,7 +71,7 @@
     )
 
 
-def register_server(vm, server, now):
+def register_server(vm, server, now, source=""):
     """Accept an announcement without a credential.
 
     Parameters
@@ -82,6 +82,8 @@
         The announcement.
     now : float
         Monotonic time in seconds.
+    source : str
+        Network address that it was received from.
 
     Returns
     -------
@@ -91,11 +93,13 @@
         open announcements; ``BAD_REQUEST`` or ``CONFLICT`` if the
         announcement is invalid or contradicts the known state;
         ``STALE_AUTHORITY`` if this VM may be unable to notify the entry VMs
-        that the server leaves.
+        that the server leaves; ``OVERLOADED`` if too many are known.
     """
     if not vm.settings.backends.open_announcements:
         return fail(ErrorKind.UNAUTHENTICATED, "a credential is required")
-    checked = check_open_announcement(server, vm.state_cache.state)
+    checked = check_open_announcement(server, vm.state_cache.state).and_then(
+        lambda server: vm.directory.check_capacity(server, source)
+    )
     if checked.is_err():
         return checked
     if server.leaving and not _is_connected(vm, now):
@@ -107,7 +111,7 @@
         current.cold_senders if current is not None else (),
     )
     server = attrs.evolve(server, cold_senders=senders)
-    accepted = apply_announcement(vm.directory, server, now)
+    accepted = apply_announcement(vm.directory, server, now, source)
     if accepted.is_err():
         return accepted
     return Ok(_choose_registry(vm, server.data_centre))
--- a/medlarhollow/entry/tests/test_announce.py
+++ b/medlarhollow/entry/tests/test_announce.py
@@ -7,6 +7,7 @@
 
 import aiohttp
 import pytest
+from result import Ok
 
 from medlarhollow.daemon.http import HttpServer
 from medlarhollow.entry import make_announce_app
@@ -126,7 +127,8 @@
         settings=make_settings(),
         state_cache=state_cache,
         directory=types.SimpleNamespace(
-            announce=lambda server, now: announced.append(server)
+            announce=lambda server, now, source: announced.append(server),
+            check_capacity=lambda server, source: Ok(server),
         ),
     )
     address = free_addresses(1)[0]
--- a/medlarhollow/membership/announcement.py
+++ b/medlarhollow/membership/announcement.py
@@ -18,7 +18,11 @@
 ]
 
 
-def apply_announcement(directory, server, now):
+# Size limit of the encoded record of a server.
+_RECORD_LIMIT_BYTES = 2048
+
+
+def apply_announcement(directory, server, now, source=""):
     """Add an announcement unless it is late or conflicts with another process.
 
     Parameters
@@ -31,6 +35,8 @@
         receives them.
     now : float
         Monotonic time in seconds.
+    source : str
+        Network address that it was received from.
 
     Returns
     -------
@@ -54,7 +60,7 @@
         if not is_later(server, current):
             directory.renew_left(server, now)
             return Ok(server)
-    directory.announce(server, now)
+    directory.announce(server, now, source)
     return Ok(server)
 
 
@@ -116,7 +122,13 @@
     try:
         parse_address(server.address)
         # A record without an encoding could not be sent to any other VM.
-        encode(server)
+        size = len(encode(server))
     except ValueError as error:
         return fail(ErrorKind.BAD_REQUEST, str(error))
+    if size > _RECORD_LIMIT_BYTES:
+        return fail(
+            ErrorKind.BAD_REQUEST,
+            f"the record of a server must not exceed {_RECORD_LIMIT_BYTES}"
+            " bytes",
+        )
     return Ok(server)
--- a/medlarhollow/membership/directory.py
+++ b/medlarhollow/membership/directory.py
@@ -70,7 +70,24 @@
         """Return the monotonic time of a VM's last vouch; -inf for none."""
         return self._merger.vouched_at(name)
 
-    def announce(self, server, now):
+    def check_capacity(self, server, source):
+        """Check whether a server may be added.
+
+        Parameters
+        ----------
+        server : BackendServer
+            A validated announcement.
+        source : str
+            Network address that it was received from.
+
+        Returns
+        -------
+        result.Result
+            ``Ok(server)`` or ``OVERLOADED``.
+        """
+        return self._table.check_capacity(server, source)
+
+    def announce(self, server, now, source=""):
         """Apply an announcement, which renews the server's lease.
 
         Parameters
@@ -79,6 +96,8 @@
             A validated announcement.
         now : float
             Monotonic time in seconds.
+        source : str
+            Network address that it was received from.
         """
         if self._table.is_superseded(server, now):
             return
@@ -90,7 +109,7 @@
         expires_at = now + self._settings.lease_s
         load_at = now - server.load_age_s
         is_change = self._table.put(
-            server, self._vm_name, expires_at, now, load_at
+            server, self._vm_name, expires_at, now, load_at, source
         )
         self._table.log_changes(self._vm_name)
         if is_change:
--- a/medlarhollow/membership/lease_table.py
+++ b/medlarhollow/membership/lease_table.py
@@ -8,6 +8,7 @@
 from .lease import pool_key
 from .order import is_first_of_process
 from .order import is_other_process
+from .record_shares import RecordShares
 
 __all__ = ["LeaseTable"]
 
@@ -33,6 +34,7 @@
         self._last_resend_number = 0
         self._addresses = AddressIndex(self._leases)
         self._changes = ServerChangeLog()
+        self._shares = RecordShares(settings)
         self._next_discard_at = -math.inf
 
     @property
@@ -66,6 +68,10 @@
             lease for lease in self._leases.values() if lease.expires_at > now
         ]
 
+    def check_capacity(self, server, source):
+        """Check whether a server may be added; see `RecordShares.check`."""
+        return self._shares.check(server, source)
+
     def is_superseded(self, server, now):
         """Return whether a later process now uses a server's address."""
         return self._addresses.is_superseded(server, now)
@@ -82,7 +88,7 @@
         """Log the changes since the last call, with the VM they are from."""
         self._changes.flush(sender)
 
-    def put(self, server, owner, expires_at, now, load_at):
+    def put(self, server, owner, expires_at, now, load_at, source=""):
         """Store a record and renew its lease.
 
         Parameters
@@ -94,6 +100,8 @@
         expires_at, now, load_at : float
             Monotonic times in seconds: end of the lease, the present, and
             that of the load in the record.
+        source : str
+            Network address that announced it to this VM, if it did.
 
         Returns
         -------
@@ -111,6 +119,7 @@
             or (server.cold_left_s > 0 and not previous.cold_left_s)
         )
         self._changes.record(previous, server)
+        self._shares.add(server, source)
         if lease is None or lease.expires_at <= now:
             self._generation += 1
             lease = self._leases[server.server_id] = Lease(
@@ -147,3 +156,4 @@
             if lease.expires_at + retention_s <= now
         ]:
             self._addresses.discard(self._leases.pop(server_id).server)
+            self._shares.discard(server_id)
--- a/medlarhollow/settings/generated.py
+++ b/medlarhollow/settings/generated.py
@@ -107,6 +107,7 @@
     slow_start_s: float = 20.0
     ejection_s: float = 5.0
     scope: str = "data_centre"
+    record_limit: int = 8192
     open_announcements: bool = False
     remote_weight: float = 0.1
     shift_per_s: float = 0.05
@@ -555,6 +556,13 @@
                 allowed=("data_centre", "fleet"),
                 help="Backend servers that serve the callers of a VM: those of its data centre, with others on credit, or those of the whole fleet.",
             ),
+            Option(
+                name="record_limit",
+                type="int",
+                lowest=64,
+                highest=1000000,
+                help="Records of backend servers that are kept, those that left included; one service may have half of them, one sender of announcements an eighth.",
+            ),
             Option(
                 name="open_announcements",
                 type="bool",
