Bound the memory of claims on idempotency keys

At 146 orders a second a replica of 296 MB would be full within an hour (worked out).

Change: beyond `control.claim_bytes` (32 MiB, estimated) the oldest claims of the account that uses most are dropped, and keys of that account that are no younger than a dropped one are rejected as not run, so that none runs again. Claims of accounts that stopped to order expire within a minute of log time.

Tests: requests/claims::claims_beyond_the_memory_limit_drop_the_oldest and the four after it. They use the new setting; without it the code before has no limit.

--- a/medlarhollow/requests/claims.py
+++ b/medlarhollow/requests/claims.py
@@ -1,5 +1,6 @@
 """Claims on idempotency keys, stored by the control replicas."""
 
+import collections
 import functools
 import heapq
 
@@ -22,6 +23,11 @@
 # Key of the record that stores the highest log time. No claim can have it,
 # because a claim needs an account.
 _CLOCK_KEY = ("", "", "")
+# Estimated memory of a claim without its outcome, and of a header in it.
+_CLAIM_BYTES = 1024
+_HEADER_BYTES = 160
+# Interval of log time between removals of expired claims of all accounts.
+_SWEEP_INTERVAL_S = 60.0
 
 
 class ClaimLedger:
@@ -39,13 +45,16 @@
     so a leader whose clock is slow cannot revive an expired key. It is part
     of the records, so that a replica restored from a snapshot makes the same
     decisions as the others.
+
+    Beyond the memory limit the oldest claims of the account that uses most
+    are dropped. Keys that are no younger than a dropped one of the account
+    are rejected, so that none runs again. The time of the youngest dropped
+    key is part of the records, as a claim of the account without a key.
     """
 
     def __init__(self, settings):
         self._settings = settings
-        self._claims = {}
-        self._expiries = []
-        self._time_s = 0.0
+        self._clear()
 
     @property
     def records(self):
@@ -55,17 +64,21 @@
         )
         if not self._time_s:
             return claims
-        return (ClaimRecord(claimed_at_s=self._time_s), *claims)
+        dropped = tuple(
+            ClaimRecord(account=account, claimed_at_s=time_s)
+            for account, time_s in sorted(self._dropped_times.items())
+        )
+        return (ClaimRecord(claimed_at_s=self._time_s), *dropped, *claims)
 
     def restore(self, records):
         """Replace all claims with those of a snapshot."""
-        self._claims = {}
-        self._expiries = []
-        self._time_s = 0.0
+        self._clear()
         for record in records:
             claim_key = _key_of(record)
             if claim_key == _CLOCK_KEY:
                 self._time_s = record.claimed_at_s
+            elif not record.idempotency_key:
+                self._dropped_times[record.account] = record.claimed_at_s
             else:
                 self._store(claim_key, record)
 
@@ -88,8 +101,15 @@
             released attempt receives ``RELEASED``.
         """
         self._time_s = max(self._time_s, now)
-        self._expire()
-        return self._execute(body)
+        self._expire(body.account)
+        if self._time_s >= self._next_sweep_at_s:
+            self._next_sweep_at_s = self._time_s + _SWEEP_INTERVAL_S
+            for account in list(self._expiries):
+                self._expire(account)
+        result = self._execute(body)
+        while self._used_bytes > self._settings.control.claim_bytes:
+            self._drop_oldest()
+        return result
 
     @functools.singledispatchmethod
     def _execute(self, body):
@@ -139,6 +159,7 @@
             existing = attrs.evolve(
                 existing, status=ClaimStatus.COMPLETED, outcome=body.outcome
             )
+            self._count(claim_key, existing)
             self._claims[claim_key] = existing
         return Ok(_completed_response(existing))
 
@@ -154,7 +175,7 @@
                 return fail(
                     ErrorKind.CONFLICT, "the claim is already completed"
                 )
-            del self._claims[claim_key]
+            self._remove(claim_key)
         tombstone = ClaimRecord(
             account=body.account,
             idempotency_key=body.idempotency_key,
@@ -179,13 +200,65 @@
             return fail(
                 ErrorKind.BAD_REQUEST, "the key is not in canonical form"
             )
+        dropped_time_s = self._dropped_times.get(body.account, 0.0)
+        if parsed.ok_value.time_s <= dropped_time_s:
+            return fail(
+                ErrorKind.BAD_REQUEST,
+                "the Idempotency-Key is older than the oldest one that is "
+                "still stored for this account",
+            )
         retention_s = self._settings.control.claim_retention_s
         return check_age(parsed.ok_value, self._time_s, retention_s)
 
+    def _clear(self):
+        self._claims = {}
+        # Heaps of (end of the retention, key of the claim), by account.
+        self._expiries = {}
+        self._bytes_by_account = collections.Counter()
+        self._used_bytes = 0
+        # Time of the youngest key that was dropped, by account.
+        self._dropped_times = {}
+        self._time_s = 0.0
+        self._next_sweep_at_s = 0.0
+
     def _store(self, claim_key, record):
+        self._count(claim_key, record)
         self._claims[claim_key] = record
-        expiry = (self._expires_at(record), claim_key)
-        heapq.heappush(self._expiries, expiry)
+        expiries = self._expiries.setdefault(record.account, [])
+        heapq.heappush(expiries, (self._expires_at(record), claim_key))
+
+    def _count(self, claim_key, record):
+        """Count the memory of a record that replaces one, or none."""
+        change = _estimate_bytes(record)
+        previous = self._claims.get(claim_key)
+        if previous is not None:
+            change -= _estimate_bytes(previous)
+        self._used_bytes += change
+        self._bytes_by_account[record.account] += change
+
+    def _remove(self, claim_key):
+        record = self._claims.pop(claim_key)
+        size = _estimate_bytes(record)
+        self._used_bytes -= size
+        self._bytes_by_account[record.account] -= size
+        if not self._bytes_by_account[record.account]:
+            del self._bytes_by_account[record.account]
+
+    def _drop_oldest(self):
+        """Drop the oldest claim of the account that uses most memory."""
+        account = max(
+            self._bytes_by_account,
+            key=lambda name: (self._bytes_by_account[name], name),
+        )
+        _, claim_key = heapq.heappop(self._expiries[account])
+        record = self._claims.get(claim_key)
+        if record is None:
+            return
+        key = parse_idempotency_key(record.idempotency_key).ok_value
+        self._dropped_times[account] = max(
+            self._dropped_times.get(account, 0.0), key.time_s
+        )
+        self._remove(claim_key)
 
     def _expires_at(self, record):
         # The retention also starts no earlier than the time in the key,
@@ -194,13 +267,27 @@
         start = max(record.claimed_at_s, key.time_s)
         return start + self._settings.control.claim_retention_s
 
-    def _expire(self):
-        while self._expiries and self._expiries[0][0] < self._time_s:
-            _, claim_key = heapq.heappop(self._expiries)
+    def _expire(self, account):
+        expiries = self._expiries.get(account)
+        while expiries and expiries[0][0] < self._time_s:
+            _, claim_key = heapq.heappop(expiries)
             record = self._claims.get(claim_key)
             # The key may belong to a newer claim than the expired one.
             if record and self._expires_at(record) < self._time_s:
-                del self._claims[claim_key]
+                self._remove(claim_key)
+        if expiries is not None and not expiries:
+            del self._expiries[account]
+
+
+def _estimate_bytes(record):
+    outcome = record.outcome
+    if outcome is None:
+        return _CLAIM_BYTES
+    headers = sum(
+        _HEADER_BYTES + len(header.name) + len(header.value)
+        for header in outcome.headers
+    )
+    return _CLAIM_BYTES + headers + len(outcome.body)
 
 
 def _key_of(record):
--- a/medlarhollow/requests/tests/test_claims.py
+++ b/medlarhollow/requests/tests/test_claims.py
@@ -2,6 +2,7 @@
 
 import uuid
 
+import attrs
 from hypothesis import given
 from hypothesis import settings as hypothesis_settings
 from hypothesis import strategies as st
@@ -248,3 +249,71 @@
             ledger = ClaimLedger(make_settings())
             ledger.restore(records)
     assert all(len(attempts) == 1 for attempts in executions.values())
+
+
+LIMIT_BYTES = 100 * 1024
+
+
+@pytest.fixture
+def small_ledger():
+    settings = make_settings()
+    control = attrs.evolve(settings.control, claim_bytes=LIMIT_BYTES)
+    return ClaimLedger(attrs.evolve(settings, control=control))
+
+
+def fill(ledger, account, count, start_s=0.0, body=b"order 7"):
+    """Claim and complete orders; return their keys."""
+    keys = []
+    for number in range(count):
+        now = NOW + start_s + number / 100
+        key = make_key(now, number)
+        keys.append(key)
+        claimed = ledger.execute(Claim(account, key, "a", b"f"), now)
+        assert claimed.ok_value.claim_status is GRANTED
+        outcome = Outcome(status=201, body=body, body_kept=True)
+        completion = CompleteClaim(account, key, "a", outcome)
+        assert ledger.execute(completion, now).is_ok()
+    return keys
+
+
+def test_claims_beyond_the_memory_limit_drop_the_oldest(small_ledger):
+    """Guards the memory of control replicas, and invariant 10: the key of a
+    dropped claim must not run again."""
+    keys = fill(small_ledger, "crew", 1000)
+    assert len(small_ledger.records) < 110
+    now = NOW + 10.0
+    for key in keys[:-150:50]:
+        result = small_ledger.execute(claim("b", key=key), now)
+        assert result.err_value.kind is ErrorKind.BAD_REQUEST
+    latest = small_ledger.execute(claim("b", key=keys[-1]), now)
+    assert latest.ok_value.claim_status is COMPLETED
+    assert fill(small_ledger, "crew", 1, start_s=11.0)
+
+
+def test_dropped_keys_stay_rejected_after_a_snapshot(small_ledger):
+    """Guards invariant 10 on replicas that start from a snapshot."""
+    keys = fill(small_ledger, "crew", 300)
+    restored = ClaimLedger(make_settings())
+    restored.restore(small_ledger.records)
+    assert restored.records == small_ledger.records
+    result = restored.execute(claim("b", key=keys[0]), NOW + 4.0)
+    assert result.err_value.kind is ErrorKind.BAD_REQUEST
+
+
+@pytest.mark.parametrize("body", [b"order 7", bytes(16384)])
+def test_flood_of_claims_drops_none_of_another_account(small_ledger, body):
+    """Guards the replays of an account against the orders of another one."""
+    keys = fill(small_ledger, "crew", 5)
+    fill(small_ledger, "flood", 500, start_s=1.0, body=body)
+    for key in keys:
+        result = small_ledger.execute(claim("b", key=key), NOW + 7.0)
+        assert result.ok_value.claim_status is COMPLETED
+
+
+def test_claims_of_silent_accounts_expire(small_ledger):
+    """Guards memory against accounts that stop to order."""
+    for number in range(20):
+        fill(small_ledger, f"crew-{number}", 2)
+    fill(small_ledger, "crew", 1, start_s=RETENTION_S + 10.0)
+    claims = [r for r in small_ledger.records if r.idempotency_key]
+    assert len(claims) == 1
--- a/medlarhollow/settings/generated.py
+++ b/medlarhollow/settings/generated.py
@@ -65,6 +65,7 @@
     history_commits: int = 5000
     history_bytes: int = 8388608
     claim_retention_s: float = 604800.0
+    claim_bytes: int = 33554432
     request_retention_s: float = 86400.0
     propose_timeout_s: float = 5.0
     vm_lease_s: float = 3.0
@@ -347,6 +348,13 @@
                 highest=31536000.0,
                 help="Retention time of an idempotency key; older keys are rejected.",
             ),
+            Option(
+                name="claim_bytes",
+                type="int",
+                lowest=65536,
+                highest=1073741824,
+                help="Estimated memory of the claims on idempotency keys; beyond it the oldest claims of the account that has most are dropped, and its keys up to their age are rejected. The same on all replicas.",
+            ),
             Option(
                 name="request_retention_s",
                 type="float",
