Forward text like a key unchanged where keys have another form

Cause: text in the form of the project's own keys was masked in bodies, queries and headers, dropped from request identifiers and rejected in paths, also on the users' platform, whose keys are of another form. A server would run a request that was not the one sent.

The key itself is not forwarded, as before: its header is removed.

Test: entry/dialect::text_like_a_key_is_forwarded_where_keys_have_another_form, all five places failed on the code before.

--- a/medlarhollow/entry/admission.py
+++ b/medlarhollow/entry/admission.py
@@ -97,7 +97,7 @@
             ErrorKind.STALE_AUTHORITY,
             "this VM has not received a configuration yet",
         )
-    route = _find_route(vm.state_cache.state, caller)
+    route = _find_route(vm.state_cache.state, caller, vm.dialect)
     if route.is_err():
         return route
     if caller.is_declared_too_large:
@@ -116,7 +116,7 @@
         return timeout
     admission = Admission(
         _make_slot_request(vm, caller, route.ok_value, now + timeout.ok_value),
-        _choose_request_id(values[REQUEST_ID_HEADER]),
+        _choose_request_id(values[REQUEST_ID_HEADER], vm.dialect),
         idempotent=route.ok_value.idempotent,
     )
     if _is_forwarded(vm, values):
@@ -157,9 +157,9 @@
     return Ok(admission.slot_request.account)
 
 
-def _find_route(state, caller):
+def _find_route(state, caller, dialect):
     path = caller.path
-    if contains_key(caller.raw_path):
+    if dialect.masks_keys and contains_key(caller.raw_path):
         return fail(
             ErrorKind.BAD_REQUEST,
             "the path contains a key; send keys in X-Medlarhollow-Key",
@@ -199,11 +199,11 @@
     return Ok(values)
 
 
-def _choose_request_id(received):
+def _choose_request_id(received, dialect):
     if (
         received
         and _REQUEST_ID.fullmatch(received)
-        and not contains_key(received)
+        and not (dialect.masks_keys and contains_key(received))
     ):
         return received
     return str(uuid.uuid4())
--- a/medlarhollow/entry/attempts.py
+++ b/medlarhollow/entry/attempts.py
@@ -21,7 +21,7 @@
 from .backend_request import make_backend_headers
 from .backend_request import make_target
 from .caller import CallerDisconnectedError
-from .caller import RedactedBody
+from .caller import ForwardedBody
 from .claim_client import ResponseRecorder
 from .headers import filter_response_headers
 from .headers import REQUEST_ID_HEADER
@@ -258,9 +258,13 @@
         vm.client.send(
             caller.method,
             slot.address,
-            make_target(caller),
+            make_target(caller, vm.dialect),
             make_backend_headers(vm, caller, admission, slot),
-            RedactedBody(caller) if caller.has_body else None,
+            (
+                ForwardedBody(caller, vm.dialect.masks_keys)
+                if caller.has_body
+                else None
+            ),
             admission.idempotent and caller.is_buffered,
         )
     )
--- a/medlarhollow/entry/backend_request.py
+++ b/medlarhollow/entry/backend_request.py
@@ -15,9 +15,9 @@
 __all__ = ["make_backend_headers", "make_target"]
 
 
-def make_target(caller):
+def make_target(caller, dialect):
     """Return path and query of the backend request, with keys redacted."""
-    query = redact_text(caller.query)
+    query = redact_text(caller.query) if dialect.masks_keys else caller.query
     return f"{caller.raw_path}?{query}" if query else caller.raw_path
 
 
@@ -41,7 +41,9 @@
         The caller's headers without hop-by-hop headers and key, and the
         headers that this VM sets.
     """
-    headers = filter_request_headers(caller.headers.raw, vm.dialect.set_by_vm)
+    headers = filter_request_headers(
+        caller.headers.raw, vm.dialect.set_by_vm, vm.dialect.masks_keys
+    )
     deadline_at = admission.slot_request.deadline_at
     headers += [
         (REQUEST_ID_HEADER, admission.request_id),
--- a/medlarhollow/entry/caller.py
+++ b/medlarhollow/entry/caller.py
@@ -12,7 +12,7 @@
     "BodyTooLargeError",
     "Caller",
     "CallerDisconnectedError",
-    "RedactedBody",
+    "ForwardedBody",
 ]
 
 
@@ -328,8 +328,8 @@
             raise CallerDisconnectedError from None
 
 
-class RedactedBody:
-    """Iterate over a caller's body with all keys redacted.
+class ForwardedBody:
+    """Iterate over a caller's body as it is forwarded.
 
     Each iteration starts at the beginning of the body.
 
@@ -337,13 +337,20 @@
     ----------
     caller : Caller
         Source of the body.
+    masks_keys : bool
+        Whether all keys in it are redacted.
     """
 
-    def __init__(self, caller):
+    def __init__(self, caller, masks_keys):
         self._caller = caller
+        self._masks_keys = masks_keys
 
     async def __aiter__(self):
-        """Yield redacted chunks."""
+        """Yield the chunks."""
+        if not self._masks_keys:
+            async for chunk in self._caller.body():
+                yield chunk
+            return
         redactor = BodyRedactor()
         async for chunk in self._caller.body():
             clean = redactor.feed(chunk)
--- a/medlarhollow/entry/dialect.py
+++ b/medlarhollow/entry/dialect.py
@@ -50,6 +50,9 @@
     echoes_request_id : bool
         Whether responses of backend servers repeat the request identifier,
         by which a response to another request is detected.
+    masks_keys : bool
+        Whether text in the form of the fleet's own keys is masked in
+        forwarded requests. Without keys of this form it is ordinary content.
     """
 
     key: str = KEY_HEADER
@@ -63,6 +66,7 @@
     leaving: str = ""
     pause: str = ""
     echoes_request_id: bool = False
+    masks_keys: bool = True
 
     @property
     def set_by_vm(self):
--- a/medlarhollow/entry/headers.py
+++ b/medlarhollow/entry/headers.py
@@ -85,7 +85,7 @@
     return Ok(values[0] if values else None)
 
 
-def filter_request_headers(raw, set_by_vm=frozenset()):
+def filter_request_headers(raw, set_by_vm=frozenset(), masks_keys=True):
     """Return the headers of a request that are forwarded.
 
     Parameters
@@ -94,12 +94,14 @@
         Names in lower case and values, as received.
     set_by_vm : frozenset of str
         Further headers that only an entry VM may set.
+    masks_keys : bool
+        Whether keys in values are redacted and headers whose names contain
+        one are removed.
 
     Returns
     -------
     list of (str, str)
-        Without hop-by-hop and internal headers. Keys in values are
-        redacted; a header whose name contains a key is removed.
+        Without hop-by-hop and internal headers.
     """
     pairs = [(_decode(name), _decode(value)) for name, value in raw]
     dropped = (
@@ -108,12 +110,17 @@
         | _connection_options(pairs)
         | set_by_vm
     )
+    kept = [
+        (name, value)
+        for name, value in pairs
+        if name not in dropped and not name.startswith(_INTERNAL_PREFIX)
+    ]
+    if not masks_keys:
+        return kept
     return [
         (name, redact_text(value))
-        for name, value in pairs
-        if name not in dropped
-        and not name.startswith(_INTERNAL_PREFIX)
-        and not contains_key(name)
+        for name, value in kept
+        if not contains_key(name)
     ]
 
 
--- a/medlarhollow/entry/tests/test_dialect.py
+++ b/medlarhollow/entry/tests/test_dialect.py
@@ -235,3 +235,30 @@
             assert status == 502
             assert headers["x-medlarhollow-outcome"] == "unknown"
     assert len(backend.requests) == 2
+
+
+@pytest.mark.parametrize("location", ["path", "query", "header", "id", "body"])
+async def test_text_like_a_key_is_forwarded_where_keys_have_another_form(
+    location,
+):
+    """Guards the content of requests where the fleet issues no keys."""
+    backend = FakeBackend(respond(headers=SEAL_HEADER))
+    entry = EntryHarness()
+    text = entry.key
+    path, headers, body = "/open/7", {}, None
+    match location:
+        case "path":
+            path = f"/open/{text}"
+        case "query":
+            path = f"/open/7?k={text}"
+        case "header":
+            headers = {"x-note": text}
+        case "id":
+            headers = {"x-request-id": text}
+        case "body":
+            body = f"a{text}b".encode()
+    async with entry.run(backend):
+        entry.vm.dialect = attrs.evolve(DIALECT, masks_keys=False)
+        await entry.call(path, "PUT", key=False, headers=headers, data=body)
+    received = backend.requests[0].head + backend.requests[0].body
+    assert text.encode() in received
