Explore presets and keys in the model of late orders

Cause: the model knew evacuations and moves; the orders of the administration API rested on a sentence of decision 9.

Nothing of this runs in the daemon.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 RUN = $(VENV)/bin/python
 LOCK = build/lock
 
-.PHONY: setup quickstart test lint format generate lock
+.PHONY: setup quickstart test lint modelcheck format generate lock
 
 setup: $(VENV)/.installed
 
@@ -23,6 +23,10 @@
 test: lint
 	$(RUN) tools/run_tests.py
 
+# The long exploration of the models; OPTIONS as --help of the command says.
+modelcheck: setup
+	$(RUN) -m medlarhollow.modelcheck $(OPTIONS)
+
 format: setup
 	$(RUN) -m ruff check --fix .
 	$(RUN) -m ruff format .
--- a/medlarhollow/modelcheck/__main__.py
+++ b/medlarhollow/modelcheck/__main__.py
@@ -9,7 +9,7 @@
 from .first_start import explore_first_start
 from .late_orders import explore_late_orders
 from .late_orders import Guards
-from .late_orders import ORDER_KINDS
+from .order_kinds import ORDER_KINDS
 
 _WITHOUT_ONE = {
     field.name: Guards(**{field.name: False}) for field in attrs.fields(Guards)
--- a/medlarhollow/modelcheck/late_orders.py
+++ b/medlarhollow/modelcheck/late_orders.py
@@ -16,15 +16,10 @@
 from ..admin.orders import SENDER_PATIENCE_S
 from ..agreement import StateMachine
 from ..messages.records import Change
-from ..messages.records import EndEvacuation
-from ..messages.records import Move
 from ..messages.records import MoveState
-from ..messages.records import PutService
 from ..messages.records import RollBackMove
-from ..messages.records import Service
-from ..messages.records import StartEvacuation
-from ..messages.records import StartMove
 from ..settings.load import parse_settings
+from .order_kinds import ORDER_KINDS
 from .order_world import Copy
 from .order_world import is_close_pending
 from .order_world import may_time_pass
@@ -34,15 +29,13 @@
 from .order_world import World
 from .search import explore
 
-__all__ = ["ORDER_KINDS", "Guards", "explore_late_orders"]
+__all__ = ["Guards", "explore_late_orders"]
 
 _SETTINGS = parse_settings(
     "[vm]\nname=a\ncluster=model\nregion=north\ndata_centre=north-a\n"
     "[peer]\nlisten=127.0.0.1:1\nsecret_file=unused\n"
     "[control]\nreplicas=127.0.0.1:1\n"
 )
-_DATA_CENTRE = "north-a"
-_SERVICE = "plots"
 _OPERATOR = "operator"
 # Copies of one order that the operator sends at most.
 _COPIES = 2
@@ -69,6 +62,8 @@
         Orders that arrive around a suspension are rejected.
     limits_age : bool
         Orders that were held for long are rejected.
+    identifies : bool
+        An order with the identifier of an executed one is not executed.
     """
 
     binds: bool = True
@@ -76,61 +71,7 @@
     settles: bool = True
     sees_suspension: bool = True
     limits_age: bool = True
-
-
-@attrs.frozen
-class _OrderKind:
-    """Orders of a scenario and the property of the last one.
-
-    Attributes
-    ----------
-    initial : tuple
-        Changes executed before.
-    orders : tuple
-        Bodies of the orders, sent one after the other.
-    holds : callable
-        Returns whether a fleet state is right once all are acknowledged.
-    ends_moves : bool
-        Whether the leader rolls a move back after a while.
-    """
-
-    initial: tuple
-    orders: tuple
-    holds: object
-    ends_moves: bool = False
-
-
-_START_MOVE = StartMove(
-    Move(
-        service=_SERVICE,
-        to_version="2",
-        deadline_s=1e6,
-        cap=1.0,
-        step_s=0.1,
-    )
-)
-ORDER_KINDS = {
-    "end, then start an evacuation": _OrderKind(
-        (StartEvacuation(_DATA_CENTRE),),
-        (EndEvacuation(_DATA_CENTRE), StartEvacuation(_DATA_CENTRE)),
-        lambda state: _DATA_CENTRE in state.evacuations,
-    ),
-    "start, then end an evacuation": _OrderKind(
-        (),
-        (StartEvacuation(_DATA_CENTRE), EndEvacuation(_DATA_CENTRE)),
-        lambda state: _DATA_CENTRE not in state.evacuations,
-    ),
-    "move that is rolled back": _OrderKind(
-        (
-            PutService(
-                Service(_SERVICE, version="1", announce_sha256=bytes(32))
-            ),
-        ),
-        (_START_MOVE,),
-        lambda state: len(state.moves) == 1,
-        ends_moves=True,
-    ),
-}
+    identifies: bool = True
 
 
 def explore_late_orders(
@@ -166,7 +107,7 @@
         self._kind = kind
         self._guards = guards
         self._execute = functools.lru_cache(maxsize=None)(
-            functools.partial(_execute, kind)
+            functools.partial(_execute, kind, guards.identifies)
         )
 
     def find_violation(self, world):
@@ -310,7 +251,8 @@
                 replace_copy(world, index, is_close_seen=True),
             )
         if copy.stage == "proposed":
-            revision = copy.next_revision if self._guards.binds else 0
+            is_bound = self._guards.binds and not self._kind.has_identifiers
+            revision = copy.next_revision if is_bound else 0
             time_s = world.now if self._kind.ends_moves else 1.0
             log = (*world.log, (copy.order, revision, time_s))
             is_acknowledged = not copy.is_closed and not is_cut
@@ -353,7 +295,7 @@
             )
 
 
-def _execute(kind, log):
+def _execute(kind, identifies, log):
     """Return the fleet state after a log, and its revision."""
     machine = StateMachine(_SETTINGS)
     for body in kind.initial:
@@ -364,8 +306,12 @@
             change = Change(body=body)
         else:
             body = kind.orders[order]
+            has_identifier = kind.has_identifiers and identifies
             change = Change(
-                author=_OPERATOR, next_revision=next_revision, body=body
+                request_id=f"order-{order}" if has_identifier else "",
+                author=_OPERATOR,
+                next_revision=next_revision,
+                body=body,
             )
         machine.execute(change, time_s)
     return machine.state, machine.state.revision
--- a/medlarhollow/modelcheck/tests/test_models.py
+++ b/medlarhollow/modelcheck/tests/test_models.py
@@ -6,7 +6,7 @@
 from medlarhollow.modelcheck import explore_first_start
 from medlarhollow.modelcheck import explore_late_orders
 from medlarhollow.modelcheck.late_orders import Guards
-from medlarhollow.modelcheck.late_orders import ORDER_KINDS
+from medlarhollow.modelcheck.order_kinds import ORDER_KINDS
 
 STATES = 20_000
 MOVE = "move that is rolled back"
@@ -34,7 +34,7 @@
 @pytest.mark.parametrize("kind", ORDER_KINDS)
 def test_unprotected_late_order_is_found(kind):
     """Shows that the model finds the fault that the protections prevent."""
-    guards = Guards(False, False, False, False, False)
+    guards = Guards(False, False, False, False, False, False)
     result = explore_late_orders(kind, guards, faults=1, limit_states=STATES)
     assert result.violation
 
@@ -46,6 +46,19 @@
     assert result.violation
 
 
+IDENTIFIED = [
+    name for name, kind in ORDER_KINDS.items() if kind.has_identifiers
+]
+
+
+@pytest.mark.parametrize("kind", IDENTIFIED)
+def test_identifiers_of_orders_are_enough(kind):
+    """Shows which protection the orders of the administration API have."""
+    guards = Guards(False, False, False, False, False, True)
+    result = explore_late_orders(kind, guards, faults=1, limit_states=STATES)
+    assert not result.violation
+
+
 @pytest.mark.parametrize("guard", ["sees_suspension", "limits_age"])
 def test_each_protection_is_needed_for_two_faults(guard):
     guards = Guards(**{guard: False})
