Count the bodies of all waiting requests of a connection

Cause: only the body of the last request was held against the limits, while up to 32 requests wait, each with a body of its own. Found in reading again.

Change: the bodies of all requests of the connection count, whether the last one is complete or not.

--- a/medlarhollow/daemon/protocol.py
+++ b/medlarhollow/daemon/protocol.py
@@ -212,15 +212,18 @@
             self._start_disconnect_timer()
 
     def _count_held_body(self):
-        held = 0 if self.cycle is None else len(self.cycle.body)
+        """Count what this connection holds of bodies that nobody took."""
+        held = sum(len(response.cycle.body) for response in self._responses)
         self._read_ahead.body_bytes += held - self._held_body_bytes
         self._held_body_bytes = held
 
     def _may_parse(self):
         if self._parse_timer is not None:
             return False
+        if not self._read_ahead.may_hold_body(self._held_body_bytes):
+            return False
         if self.cycle is not None and self.cycle.more_body:
-            return self._read_ahead.may_hold_body(len(self.cycle.body))
+            return True
         if self.flow.write_paused:
             return False
         if not self.pipeline:
--- a/medlarhollow/daemon/tests/test_flooding_clients.py
+++ b/medlarhollow/daemon/tests/test_flooding_clients.py
@@ -8,7 +8,11 @@
 import pytest
 
 from medlarhollow import clock
+from medlarhollow.daemon.http import HttpServer
 from medlarhollow.entry.tests.fakes import respond
+from medlarhollow.entry.tests.test_endless_processes import resident_bytes
+from medlarhollow.entry.tests.test_endless_processes import sample_memory
+from medlarhollow.localfleet.ports import free_addresses
 
 from .fleets import run_fleet
 
@@ -189,3 +193,34 @@
         other = fleet.local_fleet.processes["north-a-2"]
         assert other.exit_code is None
         assert peak_memory_bytes(other.pid) < ENTRY_MEMORY_BYTES
+
+
+# What the connections of a listener may hold of bodies together, twice.
+HELD_BODIES_BYTES = 2 * 16 * 2**20
+
+
+async def test_pipelined_bodies_that_nobody_takes_exhaust_no_memory():
+    """Guards memory against callers whose requests with bodies wait behind
+    one that takes long."""
+    started = []
+
+    async def app(scope, receive, send):
+        started.append(scope["path"])
+        await asyncio.Event().wait()
+
+    address = free_addresses(1)[0]
+    server = HttpServer(app, address, 0.1)
+    stop = asyncio.Event()
+    serving = asyncio.create_task(server.serve_until(stop))
+    while not server.started:
+        await asyncio.sleep(0.005)
+    body = b"x" * 60_000
+    request = b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 60000\r\n\r\n"
+    peaks = [resident_bytes()]
+    sampler = asyncio.create_task(sample_memory(peaks))
+    await run_flood(address, request + body, 60, False)
+    sampler.cancel()
+    stop.set()
+    await serving
+    assert len(started) == 60
+    assert max(peaks) - peaks[0] < HELD_BODIES_BYTES
