--- a/medlarhollow/membership/record_shares.py
+++ b/medlarhollow/membership/record_shares.py
@@ -1,6 +1,7 @@
 """Limits on the number of records of backend servers."""
 
 import collections
+import logging
 
 from result import Ok
 
@@ -9,6 +10,7 @@
 
 __all__ = ["RecordShares"]
 
+_LOG = logging.getLogger(__name__)
 # Part of the limit that the servers of one service may take, and part that
 # the servers announced to this VM from one network address may take.
 _SERVICE_PART = 1 / 2
@@ -36,6 +38,8 @@
         self._keys = {}
         self._by_service = collections.Counter()
         self._by_source = collections.Counter()
+        # Holders of exhausted shares that were logged since a record left.
+        self._logged = set()
 
     def check(self, server, source):
         """Check whether a server may be added.
@@ -56,11 +60,11 @@
         if server.server_id in self._keys:
             return Ok(server)
         if len(self._keys) >= self._limit:
-            return _fail("all services")
+            return self._fail("all services")
         if self._by_service[server.service] >= self._limit * _SERVICE_PART:
-            return _fail(f"service '{server.service}'")
+            return self._fail(f"service '{server.service}'")
         if source and self._by_source[source] >= self._limit * _SOURCE_PART:
-            return _fail(f"address {source}")
+            return self._fail(f"address {source}")
         return Ok(server)
 
     def add(self, server, source):
@@ -75,6 +79,7 @@
 
     def discard(self, server_id):
         """Count a server no more."""
+        self._logged.clear()
         key = self._keys.pop(server_id, None)
         if key is None:
             return
@@ -85,8 +90,9 @@
             if not counter[name]:
                 del counter[name]
 
-
-def _fail(holder):
-    return fail(
-        ErrorKind.OVERLOADED, f"too many backend servers are known of {holder}"
-    )
+    def _fail(self, holder):
+        detail = f"too many backend servers are known of {holder}"
+        if holder not in self._logged:
+            self._logged.add(holder)
+            _LOG.warning("membership: %s", detail)
+        return fail(ErrorKind.OVERLOADED, detail)
--- a/medlarhollow/membership/tests/test_record_shares.py
+++ b/medlarhollow/membership/tests/test_record_shares.py
@@ -107,3 +107,13 @@
     result = check_open_announcement(server, make_state())
     assert result.err_value.kind is ErrorKind.BAD_REQUEST
     assert "2048" in result.err_value.detail
+
+
+def test_exhausted_share_is_logged_once(directory, caplog):
+    """Guards the log against a line for each rejected announcement."""
+    flood(directory, "10.0.0.2")
+    messages = [record.getMessage() for record in caplog.records]
+    rejections = [text for text in messages if "too many" in text]
+    assert rejections == [
+        "membership: too many backend servers are known of address 10.0.0.2"
+    ]
--- a/medlarhollow/requests/claims.py
+++ b/medlarhollow/requests/claims.py
@@ -3,6 +3,7 @@
 import collections
 import functools
 import heapq
+import logging
 
 import attrs
 from result import Ok
@@ -20,6 +21,7 @@
 
 __all__ = ["ClaimLedger"]
 
+_LOG = logging.getLogger(__name__)
 # Key of the record that stores the highest log time. No claim can have it,
 # because a claim needs an account.
 _CLOCK_KEY = ("", "", "")
@@ -104,6 +106,7 @@
         self._expire(body.account)
         if self._time_s >= self._next_sweep_at_s:
             self._next_sweep_at_s = self._time_s + _SWEEP_INTERVAL_S
+            self._logged.clear()
             for account in list(self._expiries):
                 self._expire(account)
         result = self._execute(body)
@@ -220,6 +223,8 @@
         self._dropped_times = {}
         self._time_s = 0.0
         self._next_sweep_at_s = 0.0
+        # Accounts whose dropped claims were logged since the last sweep.
+        self._logged = set()
 
     def _store(self, claim_key, record):
         self._count(claim_key, record)
@@ -259,6 +264,14 @@
             self._dropped_times.get(account, 0.0), key.time_s
         )
         self._remove(claim_key)
+        if account not in self._logged:
+            self._logged.add(account)
+            _LOG.warning(
+                "requests: drops claims of account '%s' to save memory; "
+                "its keys up to %.0f are rejected",
+                account,
+                self._dropped_times[account],
+            )
 
     def _expires_at(self, record):
         # The retention also starts no earlier than the time in the key,
--- a/medlarhollow/requests/tests/test_claims.py
+++ b/medlarhollow/requests/tests/test_claims.py
@@ -276,11 +276,12 @@
     return keys
 
 
-def test_claims_beyond_the_memory_limit_drop_the_oldest(small_ledger):
+def test_claims_beyond_the_memory_limit_drop_the_oldest(small_ledger, caplog):
     """Guards the memory of control replicas, and invariant 10: the key of a
     dropped claim must not run again."""
     keys = fill(small_ledger, "crew", 1000)
     assert len(small_ledger.records) < 110
+    assert len([r for r in caplog.records if "crew" in r.getMessage()]) == 1
     now = NOW + 10.0
     for key in keys[:-150:50]:
         result = small_ledger.execute(claim("b", key=key), now)
