Let servers leave in a data centre that is cut off

Seen in reading: a registry that cannot notify a majority of the others, or has no fresh proof, rejected the announcement of a server that leaves and forgot it. The entry VMs on its side of a partition went on sending requests to a server that had asked for none, and that no other registry could be told of.

Change: the registry applies the announcement and tells the VMs it reaches, and still gives no acknowledgement, which would bind those it does not.

Ruled out: acknowledging within a data centre, since an entry VM elsewhere may still reach the server.

Test: membership/registry::registry_of_a_cut_data_centre_lets_its_servers_leave failed before for the registry that can notify nobody.

--- a/medlarhollow/entry/registry.py
+++ b/medlarhollow/entry/registry.py
@@ -92,8 +92,9 @@
         it is free to choose; ``UNAUTHENTICATED`` unless the settings allow
         open announcements; ``BAD_REQUEST`` or ``CONFLICT`` if the
         announcement is invalid or contradicts the known state;
-        ``STALE_AUTHORITY`` if this VM may be unable to notify the entry VMs
-        that the server leaves; ``OVERLOADED`` if too many are known.
+        ``STALE_AUTHORITY`` if this VM may be unable to notify all entry VMs
+        that the server leaves, which it then knows itself; ``OVERLOADED`` if
+        too many are known.
     """
     if not vm.settings.backends.open_announcements:
         return fail(ErrorKind.UNAUTHENTICATED, "a credential is required")
@@ -102,8 +103,6 @@
     )
     if checked.is_err():
         return checked
-    if server.leaving and not _is_connected(vm, now):
-        return _fail_disconnected()
     current = vm.directory.find(server.server_id)
     senders = select_cold_senders(
         vm.state_cache.state,
@@ -114,6 +113,9 @@
     accepted = apply_announcement(vm.directory, server, now, source)
     if accepted.is_err():
         return accepted
+    if server.leaving and not _is_connected(vm, now):
+        # The entry VMs that this one still reaches stop using the server.
+        return _fail_disconnected()
     return Ok(_choose_registry(vm, server.data_centre))
 
 
--- a/medlarhollow/membership/tests/test_registry.py
+++ b/medlarhollow/membership/tests/test_registry.py
@@ -1,8 +1,12 @@
 """Announcements received in any order by any VM of the fleet."""
 
+import types
+
 import attrs
 import pytest
 
+from medlarhollow.entry.registry import register_server
+from medlarhollow.limits.tests.support import FakeStateCache
 from medlarhollow.limits.tests.support import make_settings
 from medlarhollow.limits.tests.support import make_state
 from medlarhollow.membership import apply_announcement
@@ -149,3 +153,26 @@
     odd = attrs.evolve(SERVER, **{name: "1\ud800"})
     result = check_open_announcement(odd, make_state())
     assert result.err_value.kind is ErrorKind.BAD_REQUEST
+
+
+@pytest.mark.parametrize("can_notify", [False, True])
+def test_registry_of_a_cut_data_centre_lets_its_servers_leave(can_notify):
+    """Guards servers that leave in a data centre that is cut off: without an
+    acknowledgement they must not receive requests of the VMs there either."""
+    settings = make_settings(
+        "core-1", backends__open_announcements="yes", backends__scope="fleet"
+    )
+    vm = types.SimpleNamespace(
+        settings=settings,
+        directory=Directory(settings),
+        state_cache=FakeStateCache(make_state()),
+        can_notify=lambda now: can_notify,
+    )
+    vm.state_cache.proof_at = 0.0
+    assert register_server(vm, SERVER, 0.0).is_ok()
+    leaving = attrs.evolve(SERVER, sequence=5, leaving=True)
+    result = register_server(vm, leaving, 1.0)
+    assert result.is_ok() == can_notify
+    if not can_notify:
+        assert result.err_value.kind is ErrorKind.STALE_AUTHORITY
+    assert names(vm.directory, 1.0) == []
