Bound the work that data without requests costs a listener

Cause: each read costs calls of the parser and of the system, however little it brings, and a refused or answered connection was read on at full speed.

Change: headers count as pieces of a step, and data between them by its bytes, so that such steps are delayed like small chunks; 64 KiB are read and dropped after a refusal or after a response whose request goes on, then the connection is closed as after a refused head. What looks at the socket moved to the class of the head limits.

--- a/medlarhollow/daemon/head_limits.py
+++ b/medlarhollow/daemon/head_limits.py
@@ -6,6 +6,8 @@
 
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
+from .disconnect import has_disconnected
+
 __all__ = ["HeadLimitProtocol"]
 
 # SO_LINGER enabled with a timeout of 0: close() resets the connection.
@@ -115,13 +117,33 @@
             b"x-medlarhollow-outcome: not-run\r\ncontent-length: %d\r\n"
             b"connection: close\r\n\r\n%b" % (status, len(body), body)
         )
-        # Closing while received data is unread would reset the connection
-        # before the caller has read the refusal.
+        self._close_refused()
+
+    def _close_refused(self):
+        """Close after the peer has had time to read the response.
+
+        Closing while received data is unread resets the connection.
+        """
         self._is_refused = True
         self._stop_head_timer()
         self.transport.write_eof()
         self.loop.call_later(_REFUSAL_LINGER_S, self.transport.close)
 
+    def has_left(self):
+        """Return whether the peer has closed the connection.
+
+        This reads the state of the socket, so that a close counts before the
+        event loop has processed it.
+        """
+        if self.transport.is_closing():
+            return True
+        connection = self.transport.get_extra_info("socket")
+        return connection is not None and has_disconnected(connection)
+
+    def is_closed(self):
+        """Return whether the connection is closed or closing."""
+        return self.transport.is_closing()
+
     def abort(self):
         """Reset the connection, so that no response appears complete.
 
--- a/medlarhollow/daemon/protocol.py
+++ b/medlarhollow/daemon/protocol.py
@@ -6,6 +6,7 @@
 
 from .disconnect import has_disconnected
 from .head_limits import HeadLimitProtocol
+from .response_pipeline import observe_status
 from .response_pipeline import ResponsePipeline
 
 __all__ = ["HttpProtocol"]
@@ -23,9 +24,13 @@
 _MAX_PROMPT_REFUSALS = 8
 # Interval between refusals of all connections with that many.
 _REFUSAL_INTERVAL_S = 0.005
-# Pieces of bodies in one step, above which each takes the interval.
+# Headers and pieces of bodies in one step, above which each takes the
+# interval; data between them counts as a piece for every 16 bytes.
 _MAX_PROMPT_PIECES = 64
 _PIECE_INTERVAL_S = 0.00002
+_PIECE_BYTES = 16
+# Data that is read and dropped after a refusal.
+_MAX_DROPPED_BYTES = 65536
 # Time between disconnect checks of a connection whose reading is paused.
 _DISCONNECT_CHECK_S = 0.1
 
@@ -41,7 +46,7 @@
     read_ahead : SharedReadAhead
         Counts the queued requests of all connections of the listener.
     pacer : WorkPacer
-        Delays requests behind refused ones, and bodies in small chunks.
+        Delays requests behind refused ones, and data in small pieces.
     **options
         For the base class.
 
@@ -65,6 +70,7 @@
         self._held_body_bytes = 0
         self._refusals = 0
         self._pieces = 0
+        self._dropped_bytes = 0
         self._delay_timer = None
         self._parse_timer = None
         self._unread_timer = None
@@ -106,7 +112,12 @@
 
     def data_received(self, data):
         """Parse data as far as the limits permit."""
-        if self._is_refused or self.transport.is_closing():
+        if self._is_refused:
+            self._dropped_bytes += len(data)
+            if self._dropped_bytes > _MAX_DROPPED_BYTES:
+                self.flow.pause_reading()
+            return
+        if self.transport.is_closing():
             return
         self._unparsed += data
         self._parse_received()
@@ -138,8 +149,14 @@
             "medlarhollow.wait_closed": self._closed_event.wait,
         }
 
+    def on_header(self, name, value):
+        """Count and store a header."""
+        self._pieces += 1
+        super().on_header(name, value)
+
     def on_headers_complete(self):
         """Queue the request and start it if permitted."""
+        self._dropped_bytes = 0
         self._defer_start = True
         super().on_headers_complete()
         self._defer_start = False
@@ -171,21 +188,6 @@
         """
         return sum(response.is_started for response in self._responses) <= 1
 
-    def has_left(self):
-        """Return whether the peer has closed the connection.
-
-        This reads the state of the socket, so that a close counts before the
-        event loop has processed it.
-        """
-        if self.transport.is_closing():
-            return True
-        connection = self.transport.get_extra_info("socket")
-        return connection is not None and has_disconnected(connection)
-
-    def is_closed(self):
-        """Return whether the connection is closed or closing."""
-        return self.transport.is_closing()
-
     def _parse_received(self):
         """Parse what was received and read on, both as far as permitted."""
         if self.transport.is_closing():
@@ -196,7 +198,11 @@
             data = bytes(self._unparsed[:_PARSE_STEP_BYTES])
             del self._unparsed[:_PARSE_STEP_BYTES]
             self._pieces = 0
+            started_in_head = self._in_head
             super().data_received(data)
+            if not started_in_head and not self._pieces:
+                self._pieces = len(data) // _PIECE_BYTES
+            self._drop_body(len(data))
             self._count_held_body()
             self._delay_after_pieces()
             if self._is_refused or self.transport.is_closing():
@@ -291,7 +297,7 @@
         response.is_started = True
         self._read_ahead.waiting -= 1
         cycle, app = self.pipeline.pop()
-        self._start_asgi_task(cycle, _observe_status(app, response))
+        self._start_asgi_task(cycle, observe_status(app, response))
 
     def _finish_response(self, response):
         self.server_state.total_requests += 1
@@ -321,7 +327,7 @@
             )
 
     def _delay_after_pieces(self):
-        """Delay a body whose pieces cost more than their bytes."""
+        """Delay data whose pieces cost more than their bytes."""
         if self._pieces > _MAX_PROMPT_PIECES and not self.is_closed():
             interval_s = self._pieces * _PIECE_INTERVAL_S
             self._parse_timer = self.loop.call_later(
@@ -329,6 +335,20 @@
                 self._end_parse_delay,
             )
 
+    def _drop_body(self, size):
+        """Close a connection whose body goes on after the response."""
+        cycle = self.cycle
+        if (
+            cycle is None
+            or not (cycle.response_complete and cycle.more_body)
+            or self._in_head
+            or len(self._responses)
+        ):
+            return
+        self._dropped_bytes += size
+        if self._dropped_bytes > _MAX_DROPPED_BYTES and not self._is_refused:
+            self._close_refused()
+
     def _end_parse_delay(self):
         self._parse_timer = None
         self._parse_received()
@@ -368,17 +388,3 @@
             self.transport.abort()
         else:
             self._start_disconnect_timer()
-
-
-def _observe_status(app, response):
-    """Return an application whose status is kept with its response."""
-
-    async def observe(scope, receive, send):
-        async def send_and_observe(message):
-            if message["type"] == "http.response.start":
-                response.status = message["status"]
-            await send(message)
-
-        await app(scope, receive, send_and_observe)
-
-    return observe
--- a/medlarhollow/daemon/response_pipeline.py
+++ b/medlarhollow/daemon/response_pipeline.py
@@ -3,7 +3,7 @@
 import asyncio
 import collections
 
-__all__ = ["PipelinedResponse", "ResponsePipeline"]
+__all__ = ["PipelinedResponse", "ResponsePipeline", "observe_status"]
 
 # Bytes of responses that wait for earlier ones, above which no more of them
 # are accepted.
@@ -154,3 +154,17 @@
             self._pending.popleft()
             if self._pending:
                 self._pending[0].flush()
+
+
+def observe_status(app, response):
+    """Return an application whose status is kept with its response."""
+
+    async def observe(scope, receive, send):
+        async def send_and_observe(message):
+            if message["type"] == "http.response.start":
+                response.status = message["status"]
+            await send(message)
+
+        await app(scope, receive, send_and_observe)
+
+    return observe
--- a/medlarhollow/daemon/tests/test_pipelining_limits.py
+++ b/medlarhollow/daemon/tests/test_pipelining_limits.py
@@ -136,7 +136,8 @@
     """Refuse all requests except those to ``/sound``."""
 
     async def __call__(self, scope, receive, send):
-        await read_all(receive)
+        if scope["path"] != "/none":
+            await read_all(receive)
         status = 204 if scope["path"] == "/sound" else 401
         headers = [(b"content-length", b"0")] if status == 401 else []
         await send(
@@ -202,3 +203,19 @@
             assert b" 204 " in await reader.readuntil(b"\r\n\r\n")
         assert app.received_bytes == 3000
         writer.close()
+
+
+async def test_body_that_goes_on_after_its_response_ends_the_connection():
+    """Guards the turns of others against bodies that nobody waits for, and
+    the response that was sent."""
+    async with serve(RefusingApp()) as connect:
+        reader, writer = await connect(
+            b"POST /none HTTP/1.1\r\nHost: x\r\n"
+            b"Content-Length: 99999999\r\n\r\n"
+        )
+        writer.write(BLOCK)
+        await asyncio.sleep(0.05)
+        writer.write(20 * BLOCK)
+        data = await asyncio.wait_for(reader.read(), 3.0)
+        assert b" 401 " in data
+        writer.close()
