--- a/medlarhollow/daemon/protocol.py
+++ b/medlarhollow/daemon/protocol.py
@@ -19,10 +19,10 @@
 _MAX_READ_AHEAD = 32
 # Data parsed at once, after which the limits are checked.
 _PARSE_STEP_BYTES = 2048
-# Consecutive refusals with further requests behind them, after which the
+# Consecutive refusals with further requests behind them, from which on the
 # requests of a connection are delayed.
 _MAX_PROMPT_REFUSALS = 8
-# Interval between refusals of all connections with that many.
+# Interval between the refusals of all connections that are delayed for them.
 _REFUSAL_INTERVAL_S = 0.005
 # Headers and pieces of bodies in one step, above which each takes the
 # interval; data between them counts as a piece for every 16 bytes.
--- a/medlarhollow/daemon/read_ahead.py
+++ b/medlarhollow/daemon/read_ahead.py
@@ -8,11 +8,11 @@
 
 # Requests that wait behind others on their connections.
 _SHARED_READ_AHEAD_LIMIT = 1024
-# Body bytes that a connection may always hold, that it may hold while all of
-# them hold less than the third limit. A close is detected only behind data
-# that was read.
+# Bytes of bodies that one connection may hold. It may hold more while all hold
+# little, because a close is detected only behind the data that was read.
 _BODY_BYTES = 65536
 _LARGE_BODY_BYTES = 262144
+# Bytes of all connections above which each is held to the smaller limit.
 _SHARED_BODY_BYTES = 16 * 1024 * 1024
 # Longest delay of a connection.
 _MAX_DELAY_S = 5.0
