Show that a truncated answer takes an order before it along

A truncated answer resets the whole connection, also if it belongs to a request behind one that is still at work, and nothing of it was written yet. Orders that a sound target runs are broken off and never answered.

--- /dev/null
+++ b/review/7/case.py
@@ -0,0 +1,146 @@
+"""A truncated answer takes the order before it along; see claim.txt."""
+
+import asyncio
+import pathlib
+import sys
+import time
+
+FOLDER = pathlib.Path(__file__).resolve().parent
+sys.path.insert(0, str(FOLDER.parent / "lib-2"))
+
+from fleet import CONTROL_IPS  # noqa: E402 - needs the import path set above
+from fleet import ENTRY_IPS  # noqa: E402
+from fleet import make_configuration  # noqa: E402
+from fleet import make_request  # noqa: E402
+from fleet import make_route  # noqa: E402
+from fleet import read_answer  # noqa: E402
+from fleet import run_case  # noqa: E402
+from fleet import Target  # noqa: E402
+
+CLIENTS = 20
+PAIRS = 8
+ORDER_WORK_S = 0.4
+LOOKUP_WORK_S = 0.1
+# One in this many answers of the faulty target breaks off.
+BROKEN_OFF_EVERY = 20
+# As often may a machine leave such requests without an answer.
+ALLOWED = 3
+
+
+class OrderTarget(Target):
+    """A sound target that runs orders and answers all of them."""
+
+    def __init__(self, *details):
+        super().__init__(*details)
+        self.work_s = ORDER_WORK_S
+        self.slots = 40
+
+
+class LookupTarget(Target):
+    """A target that breaks off some of its answers."""
+
+    breaks_off = False
+
+    def __init__(self, *details):
+        super().__init__(*details)
+        self.slots = 40
+        self.answers = 0
+
+    async def answer(self, request_id, method, path, writer):
+        """Answer; a faulty target closes before the end of some bodies."""
+        await asyncio.sleep(LOOKUP_WORK_S)
+        data = self.make_answer(request_id)
+        self.answers += 1
+        if self.breaks_off and self.answers % BROKEN_OFF_EVERY == 0:
+            self.fleet.record(f"the answer to {request_id} breaks off")
+            writer.write(data[:-3])
+            return False
+        writer.write(data)
+        return True
+
+
+class Client:
+    """A client that looks something up while its order is in progress."""
+
+    def __init__(self, fleet, number):
+        self._fleet = fleet
+        self._number = number
+        self.unanswered = []
+
+    async def run(self):
+        """Send pairs of requests, on a kept connection while it lasts."""
+        reader = writer = None
+        for pair in range(PAIRS):
+            if writer is None:
+                reader, writer = await asyncio.open_connection(
+                    ENTRY_IPS[0], self._fleet.ports["front"]
+                )
+            name = f"{self._number}-{pair}"
+            if await self._send_pair(reader, writer, name):
+                continue
+            writer.close()
+            writer = None
+        if writer is not None:
+            writer.close()
+
+    async def _send_pair(self, reader, writer, name):
+        """Return whether both requests were answered."""
+        writer.write(
+            make_request("POST", f"/order/{name}", f"order-{name}", body=b"40")
+        )
+        await asyncio.sleep(0.05)
+        writer.write(make_request("GET", f"/lookup/{name}", f"lookup-{name}"))
+        waiting = [f"order-{name}", f"lookup-{name}"]
+        try:
+            async with asyncio.timeout(3.0):
+                while waiting and (answer := await read_answer(reader)):
+                    self._fleet.record(
+                        f"{waiting[0]} is answered with {answer.status}"
+                    )
+                    waiting.pop(0)
+        except (OSError, TimeoutError, asyncio.IncompleteReadError) as error:
+            self._fleet.record(f"connection of {waiting}: {error!r}")
+        self.unanswered += waiting
+        return not waiting
+
+
+async def play(fleet, trouble):
+    """Place orders and look things up; return whether all got answers."""
+    for ip in CONTROL_IPS:
+        fleet.start(ip)
+    fleet.start(ENTRY_IPS[0])
+    routes = [
+        make_route("/order/", "alpha", kind="unsafe"),
+        make_route("/lookup/", "beta", maxAttempts=1),
+    ]
+    await fleet.put_configuration(make_configuration("r2", routes), "0")
+    orders = OrderTarget(fleet, "i-a1", "alpha", "rec-a")
+    lookups = LookupTarget(fleet, "i-b1", "beta", "rec-a")
+    for target in (orders, lookups):
+        await target.start()
+    await fleet.wait_ready(ENTRY_IPS[:1])
+    # Beyond catchUp of the start, so that the entry machine is in touch.
+    await asyncio.sleep(6.0)
+    lookups.breaks_off = trouble
+    started_at = time.monotonic()
+    clients = [Client(fleet, number) for number in range(CLIENTS)]
+    await asyncio.gather(*(client.run() for client in clients))
+    fleet.record(f"took {time.monotonic() - started_at:.1f} s")
+    ran = {request_id for request_id, *_ in orders.runs}
+    lost = [
+        request_id
+        for client in clients
+        for request_id in client.unanswered
+        if request_id in ran
+    ]
+    fleet.record(
+        f"{len(ran)} orders were passed on to the sound target; {len(lost)} "
+        f"of them have no answer, {ALLOWED} are allowed: {lost}"
+    )
+    for target in (orders, lookups):
+        await target.stop()
+    return len(lost) <= ALLOWED
+
+
+if __name__ == "__main__":
+    run_case(FOLDER, play)
--- a/review/lib-2/fleet.py
+++ b/review/lib-2/fleet.py
@@ -315,6 +315,7 @@
         self.born = int(time.time() * 1000)
         self.runs = []
         self.work_s = 0.02
+        self.slots = 6
         self._server = None
         self._beats = None
         self._tasks = set()
@@ -350,7 +351,7 @@
             "address": self.address,
             "zone": self.zone,
             "version": self.version,
-            "slots": 6,
+            "slots": self.slots,
             "state": self.state,
             "coldRemaining": "0ms",
             "sequence": self.sequence,
