--- a/review/lib-2/fleet.py
+++ b/review/lib-2/fleet.py
@@ -24,7 +24,6 @@
 CONTROL_IPS = ("127.0.31.1", "127.0.31.2", "127.0.31.3")
 ENTRY_IPS = ("127.0.31.11", "127.0.31.12")
 TARGET_IP = "127.0.31.21"
-PROXY_IP = "127.0.31.31"
 BOUNDS = """
 seedLag = "3s"
 reuseAfter = "2s"
@@ -62,14 +61,21 @@
 
 
 def free_ports(count):
-    """Return ports that are free on all loopback addresses."""
+    """Return ports that are free on all addresses of the machines."""
+    ports = []
     with contextlib.ExitStack() as stack:
-        ports = []
-        for _ in range(count):
-            listener = stack.enter_context(socket.socket())
-            listener.bind(("", 0))
-            ports.append(listener.getsockname()[1])
-        return ports
+        while len(ports) < count:
+            port = 0
+            try:
+                for ip in (*CONTROL_IPS, *ENTRY_IPS):
+                    listener = stack.enter_context(socket.socket())
+                    listener.bind((ip, port))
+                    port = listener.getsockname()[1]
+            except OSError:
+                # Taken on one of the other addresses.
+                continue
+            ports.append(port)
+    return ports
 
 
 class Record:
@@ -528,6 +534,8 @@
         Coroutine function; called with the fleet and whether the disruption
         takes place; returns whether the rule was kept.
     """
+    # Ends the processes of the case also if it is stopped from outside.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     record = Record(folder)
     fleet = Fleet(record)
     trouble = os.environ.get("TROUBLE", "1") != "0"
