Say which replica is removed, and whom a VM without proof waited for

The line of a removal now names the replica, how long it has been sent to, its last response and the voters that remain; the line of a failed upstream says how long it was tried; the loss and the return of the proof are logged once each, with its age and the revision. No decision changes. Agreement's set and joining tests and those of distribution pass.

--- a/medlarhollow/agreement/leader.py
+++ b/medlarhollow/agreement/leader.py
@@ -19,6 +19,7 @@
 from .progress import Progress
 from .replica_set import plan_removal
 from .replica_set import plan_vote_change
+from .replica_set import voters_of
 
 __all__ = [
     "append_entry",
@@ -91,9 +92,10 @@
     try:
         async with asyncio.TaskGroup() as group:
             while node.leads and node.hard.term == term:
-                _sync_peer_tasks(node, channels, group, tasks)
-                _check_quorum(node, clock.monotonic())
-                _update_voters(node, clock.monotonic())
+                now = clock.monotonic()
+                _sync_peer_tasks(node, channels, group, tasks, now)
+                _check_quorum(node, now)
+                _update_voters(node, now)
                 await asyncio.sleep(node.settings.control.heartbeat_s)
             for task in tasks.values():
                 task.cancel()
@@ -102,7 +104,7 @@
             node.step_down()
 
 
-def _sync_peer_tasks(node, channels, group, tasks):
+def _sync_peer_tasks(node, channels, group, tasks, now):
     """Start and cancel replication tasks to match the replica set."""
     followers = {
         replica.name: replica
@@ -119,7 +121,7 @@
             tasks.pop(name).cancel()
     for name, replica in followers.items():
         if name not in node.progress:
-            progress = Progress(replica, node.log.last_index + 1)
+            progress = Progress(replica, node.log.last_index + 1, now)
             node.progress[name] = progress
             tasks[name] = group.create_task(
                 _replicate_to(node, progress, channels)
@@ -177,11 +179,30 @@
     }
     replicas = plan_removal(node.log.replicas, silent_s, limit_s)
     if replicas is not None:
+        _log_removal(node, replicas, now)
+        append_entry(node, new_replicas_entry(node, replicas))
+
+
+def _log_removal(node, replicas, now):
+    """Log which replica is removed and what is known of its silence."""
+    kept = {replica.name for replica in replicas.replicas}
+    for replica in node.log.replicas.replicas:
+        if replica.name in kept:
+            continue
+        progress = node.progress[replica.name]
+        responded = progress.responded_at > float("-inf")
         _LOG.warning(
-            "agreement: removes a replica that has not responded for %g s",
-            limit_s,
+            "agreement: removes replica %s at %s, a %s, sent to for %.3f s, "
+            "last response %s; %d voters remain",
+            replica.name,
+            replica.address,
+            "voter" if replica.voter else "non-voter",
+            now - progress.started_at,
+            f"{now - progress.responded_at:.3f} s ago"
+            if responded
+            else "none",
+            len(voters_of(replicas)),
         )
-        append_entry(node, new_replicas_entry(node, replicas))
 
 
 async def _replicate_to(node, progress, channels):
--- a/medlarhollow/agreement/progress.py
+++ b/medlarhollow/agreement/progress.py
@@ -19,6 +19,8 @@
         Its record in the replica set.
     next_index : int
         Index of the next entry to send.
+    started_at : float
+        Monotonic time in seconds at which the leader began to send to it.
     match_index : int
         Index of the last entry that this incarnation is known to have
         synced.
@@ -35,6 +37,7 @@
 
     replica: object
     next_index: int
+    started_at: float
     match_index: int = 0
     acked_at: float = float("-inf")
     responded_at: float = float("-inf")
--- a/medlarhollow/agreement/tests/test_replica_set.py
+++ b/medlarhollow/agreement/tests/test_replica_set.py
@@ -70,7 +70,11 @@
     """Guards against a replica that keeps its vote after a disk loss, or
     regains it before it has caught up."""
     progress = Progress(
-        current, 1, match_index=match, reported_incarnation=incarnation
+        current,
+        1,
+        started_at=0.0,
+        match_index=match,
+        reported_incarnation=incarnation,
     )
     planned = plan_vote_change(
         ReplicaSet((A, current)), progress, commit_index=9
--- a/medlarhollow/distribution/follow.py
+++ b/medlarhollow/distribution/follow.py
@@ -17,6 +17,7 @@
 from .upstreams import list_upstreams
 from .upstreams import next_failure
 from .upstreams import RETRY_FAILED_S
+from .upstreams import STALE_PROOF_S
 
 __all__ = ["follow"]
 
@@ -45,6 +46,8 @@
     settings: object
     replica: object
     failures: dict = attrs.field(factory=dict)
+    # Whether the loss of the proof of authority was logged.
+    is_proof_lost: bool = False
     # Upstreams that did not respond in time, since the last response.
     consecutive_timeouts: int = 0
 
@@ -149,6 +152,7 @@
     """Follow one upstream and return whether it was ever usable."""
     search = asyncio.create_task(_find_preferred(follower, address))
     usable = False
+    started_at = clock.monotonic()
     try:
         async with asyncio.timeout(None) as limit:
             limit.reschedule(_deadline(follower))
@@ -161,6 +165,7 @@
                     await _exchange(follower, stream, sequence)
                     if not usable:
                         _LOG.info("sync: following upstream %s", address)
+                        _log_regained_proof(follower, address)
                     usable = True
                     follower.failures.pop(address, None)
                 if sequence:
@@ -168,9 +173,9 @@
                     await stream.cancel()
     except TimeoutError:
         follower.consecutive_timeouts += 1
-        _record_failure(follower, address, "timed out")
+        _record_failure(follower, address, "timed out", started_at)
     except (GRPCError, StreamTerminatedError, OSError) as error:
-        _record_failure(follower, address, error)
+        _record_failure(follower, address, error, started_at)
     finally:
         search.cancel()
     return usable
@@ -180,16 +185,46 @@
     return asyncio.get_running_loop().time() + follower.response_timeout_s
 
 
-def _record_failure(follower, address, reason):
-    _LOG.info("sync: upstream %s failed: %s", address, reason)
+def _record_failure(follower, address, reason, started_at):
+    now = clock.monotonic()
+    _LOG.info(
+        "sync: upstream %s failed after %.3f s: %s",
+        address,
+        now - started_at,
+        reason,
+    )
     follower.channels.drop(address)
     follower.failures[address] = next_failure(
-        follower.failures.get(address),
-        follower.is_replica(address),
-        clock.monotonic(),
+        follower.failures.get(address), follower.is_replica(address), now
+    )
+    _log_lost_proof(follower, now)
+
+
+def _log_lost_proof(follower, now):
+    """Log once that this VM has no fresh proof of authority."""
+    age_s = follower.state_cache.freshness_age_s(now)
+    if follower.is_proof_lost or age_s <= STALE_PROOF_S:
+        return
+    follower.is_proof_lost = True
+    _LOG.warning(
+        "sync: no fresh proof of authority; the last one is %.3f s old, at "
+        "revision %d",
+        age_s,
+        follower.state_cache.state.revision,
     )
 
 
+def _log_regained_proof(follower, address):
+    """Log that an upstream has given a fresh proof after its loss."""
+    if follower.is_proof_lost:
+        follower.is_proof_lost = False
+        _LOG.info(
+            "sync: proof of authority regained from %s, at revision %d",
+            address,
+            follower.state_cache.state.revision,
+        )
+
+
 async def _exchange(follower, stream, sequence):
     """Send one request and apply its response."""
     requested_at = clock.monotonic()
