Give a replica that joins the whole limit before it is removed

Cause: the silence of a replica counted from the election of the leader until its first response. With a leader older than removal_s, 12 s on the platform, a replica that was just added had always been silent for too long; it asked again 2.1 s later, as in the users' record.

Silence now counts from the last response or, if that is later, from when the leader began to send to the replica.

All tests of agreement pass 3 of 3.

--- a/medlarhollow/agreement/leader.py
+++ b/medlarhollow/agreement/leader.py
@@ -174,7 +174,7 @@
     if not limit_s or not node.may_change_replicas:
         return
     silent_s = {
-        name: now - max(progress.responded_at, node.elected_at)
+        name: progress.silent_s(now)
         for name, progress in node.progress.items()
     }
     replicas = plan_removal(node.log.replicas, silent_s, limit_s)
--- a/medlarhollow/agreement/progress.py
+++ b/medlarhollow/agreement/progress.py
@@ -44,6 +44,22 @@
     reported_incarnation: str = ""
     wake: asyncio.Event = attrs.field(factory=asyncio.Event)
 
+    def silent_s(self, now):
+        """Return the time in seconds for which it could have responded.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic time in seconds.
+
+        Returns
+        -------
+        float
+            Time since its last response, or since the leader began to send
+            to it if that is later.
+        """
+        return now - max(self.responded_at, self.started_at)
+
 
 def committed_index(synced_indices):
     """Return the highest index that a majority of the voters has synced.
--- a/medlarhollow/agreement/tests/test_joining.py
+++ b/medlarhollow/agreement/tests/test_joining.py
@@ -2,6 +2,9 @@
 
 import asyncio
 
+from medlarhollow import clock
+
+from .fakes import address_of
 from .fakes import eventually
 from .fakes import FakeCluster
 from .fakes import put_account
@@ -70,3 +73,45 @@
     await cluster.start(stopped)
     await eventually(lambda: voters(cluster, leader) == set("abcd"))
     await cluster.stop()
+
+
+async def test_joining_replica_has_the_whole_limit_to_respond(tmp_path):
+    """Guards against a successor that is removed, again and again, before it
+    was sent anything, because its leader is older than the limit."""
+    removal_s = 0.8
+    cluster = FakeCluster(tmp_path, join="yes", removal_s=str(removal_s))
+    await cluster.start()
+    leader = await cluster.leader()
+    await asyncio.sleep(1.5 * removal_s)
+    cluster.network.cut(address_of(leader), address_of("d"))
+    await cluster.start("d")
+
+    def is_member():
+        replicas = cluster.status(leader).replicas.replicas
+        return "d" in {replica.name for replica in replicas}
+
+    await eventually(is_member)
+    joined_at = clock.monotonic()
+    while clock.monotonic() < joined_at + removal_s / 2:
+        assert is_member()
+        await asyncio.sleep(0.005)
+    cluster.network.heal()
+    await eventually(lambda: voters(cluster, leader) == set("abcd"))
+    await cluster.stop()
+
+
+async def test_replica_is_removed_after_silence_from_its_start(tmp_path):
+    """Guards against a replica that never responds and stays in the set."""
+    cluster = FakeCluster(tmp_path, join="yes", removal_s="0.5")
+    await cluster.start()
+    leader = await cluster.leader()
+    cluster.network.cut(address_of(leader), address_of("d"))
+    await cluster.start("d")
+
+    def has_member():
+        replicas = cluster.status(leader).replicas.replicas
+        return "d" in {replica.name for replica in replicas}
+
+    await eventually(has_member)
+    await eventually(lambda: not has_member())
+    await cluster.stop()
