Ask several upstreams at once, and the successors of control VMs early

Cause: a VM that loses its upstream tried the others one at a time, 1.5 s for each that is gone without closing its connections, half a second for each that has no proof. Its settings name the control VMs of the time of its start; their successors were known from the roster and came last, behind all entry VMs.

A search now asks the preferred upstream, and as many again each 0.25 s, while the earlier ones may still respond; it begins when a response is 0.25 s later than the hold, and the late upstream is left only when another one has responded. The first request of a session asks for an immediate response and carries no samples, which would be lost with it. The roster says which VMs have a control replica, and these follow those of the settings in the order.

The order of a search replaces the choice of one address in two tests, which check the first address as before and that none is lost; two others name the modules to which constants and functions moved.

--- a/medlarhollow/daemon/process.py
+++ b/medlarhollow/daemon/process.py
@@ -259,6 +259,7 @@
             peer_address=settings.peer.advertise or settings.peer.listen,
             state=self._state,
             announce_address=self._announce_address(),
+            control=self._replica is not None,
         )
 
     def _announce_address(self):
--- a/medlarhollow/distribution/serve.py
+++ b/medlarhollow/distribution/serve.py
@@ -46,7 +46,9 @@
     one response, because a fleet that starts makes one change for each VM,
     and each is sent to all VMs. While this VM has no proof of authority, the
     request is held until there is one, for the same time at most, because a
-    response without it is useless. A downstream VM sends its next request at
+    response without it is useless. A downstream VM that compares upstreams
+    requests an immediate response, so that it can tell those that are gone
+    within a round trip. A downstream VM sends its next request at
     once, so one that sends nothing for longer than its timeout is no longer
     connected, even if its connection appears open.
     """
@@ -63,7 +65,7 @@
         received_at = clock.monotonic()
         reports.add(request, received_at)
         if request.cluster == settings.vm.cluster:
-            await _wait_for_change(source, request.revision)
+            await _wait_for_change(source, request)
         await stream.send_message(
             build_sync_response(
                 request, source, settings, clock.monotonic(), received_at
@@ -71,10 +73,13 @@
         )
 
 
-async def _wait_for_change(source, revision):
+async def _wait_for_change(source, request):
     """Wait for a change or, while there is no proof, for a proof."""
     now = clock.monotonic()
     if _has_fresh_proof(source, now):
+        if request.immediate:
+            return
+        revision = request.revision
         is_behind = revision < source.state.revision
         await source.wait_for_revision(revision, MAX_HOLD_S)
         if not is_behind and revision < source.state.revision:
--- a/medlarhollow/distribution/tests/test_follow.py
+++ b/medlarhollow/distribution/tests/test_follow.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import contextlib
-import sys
 
 from grpclib.const import Cardinality
 from grpclib.const import Handler
@@ -15,7 +14,9 @@
 from medlarhollow.agreement.tests.fakes import put_account
 from medlarhollow.distribution import FleetStateCache
 from medlarhollow.distribution import follow
+from medlarhollow.distribution import follower
 from medlarhollow.distribution import Reports
+from medlarhollow.distribution import search
 from medlarhollow.distribution import serve_sync
 from medlarhollow.messages.records import Change
 from medlarhollow.messages.records import Commit
@@ -125,9 +126,7 @@
 @pytest.fixture
 async def fleet(monkeypatch):
     monkeypatch.setattr("medlarhollow.distribution.serve.MAX_HOLD_S", 0.05)
-    # The package attribute of the same name is the function, not the module.
-    module = sys.modules["medlarhollow.distribution.follow"]
-    monkeypatch.setattr(module, "RETRY_FAILED_S", 0.5)
+    monkeypatch.setattr(search, "RETRY_FAILED_S", 0.5)
     fleet = Fleet()
     yield fleet
     for vm in fleet.vms:
@@ -329,8 +328,7 @@
     """Guards requests after a restart of the whole fleet: an upstream
     without a proof holds the request until it has one, and no longer."""
     monkeypatch.setattr("medlarhollow.distribution.serve.MAX_HOLD_S", 10.0)
-    module = sys.modules["medlarhollow.distribution.follow"]
-    monkeypatch.setattr(module, "_RESPONSE_TIMEOUT_S", 15.0)
+    monkeypatch.setattr(follower, "_RESPONSE_TIMEOUT_S", 15.0)
     control = fleet.controls[0]
     await fleet.commit(put_account("a"))
     for replica in fleet.controls:
--- a/medlarhollow/distribution/tests/test_leave_upstream.py
+++ b/medlarhollow/distribution/tests/test_leave_upstream.py
@@ -9,8 +9,9 @@
 from medlarhollow.daemon.fleet_service import FleetService
 from medlarhollow.distribution import FleetStateCache
 from medlarhollow.distribution import Reports
-from medlarhollow.distribution.follow import _follow_upstream
-from medlarhollow.distribution.follow import _Follower
+from medlarhollow.distribution.follower import Follower
+from medlarhollow.distribution.session import run_session
+from medlarhollow.distribution.session import Session
 from medlarhollow.localfleet.ports import free_addresses
 from medlarhollow.messages.records import SyncResponse
 from medlarhollow.messages.records import Vm
@@ -54,7 +55,7 @@
     await server.start()
     channels = Channels(settings)
     replica = SimpleNamespace(is_leader=is_leader_at_once, leader_address="")
-    follower = _Follower(
+    follower = Follower(
         FleetStateCache(settings),
         channels,
         Reports(),
@@ -66,10 +67,9 @@
     loop.call_later(0.2, setattr, replica, "is_leader", True)
     try:
         async with asyncio.timeout(5):
-            assert (
-                await _follow_upstream(follower, address)
-                is not is_leader_at_once
-            )
+            session = Session(address)
+            await run_session(follower, session)
+            assert session.usable.result() is not is_leader_at_once
     finally:
         channels.close()
         await server.stop()
--- a/medlarhollow/distribution/tests/test_upstreams.py
+++ b/medlarhollow/distribution/tests/test_upstreams.py
@@ -1,12 +1,13 @@
 """Order and selection of upstreams."""
 
+import attrs
 import pytest
 
 from medlarhollow.configuration import FleetState
-from medlarhollow.distribution.upstreams import choose_upstream
 from medlarhollow.distribution.upstreams import is_usable
 from medlarhollow.distribution.upstreams import list_upstreams
 from medlarhollow.distribution.upstreams import next_failure
+from medlarhollow.distribution.upstreams import order_upstreams
 from medlarhollow.messages.records import ErrorKind
 from medlarhollow.messages.records import Failure
 from medlarhollow.messages.records import SyncResponse
@@ -90,6 +91,19 @@
     assert list_upstreams(settings, STATE, leader) == expected
 
 
+@pytest.mark.parametrize("roles", ["entry", "control"])
+def test_successors_of_the_replicas_are_asked_after_those_of_settings(roles):
+    """Guards against a VM whose settings name replicas that are gone and
+    that asks all entry VMs before their successors."""
+    state = FleetState(vms=dict(STATE.vms))
+    for name, condition in (("p", VmState.SERVING), ("q", VmState.GONE)):
+        entry = vm(name, "d2", f"{name}:1", condition)
+        state.vms[name] = attrs.evolve(entry, control=True)
+    upstreams = list_upstreams(make_settings(roles), state)
+    assert upstreams[upstreams.index("h:2") + 1] == "p:1"
+    assert "q:1" not in upstreams
+
+
 @pytest.mark.parametrize(
     ("failures", "expected"),
     [
@@ -101,19 +115,21 @@
         ({"b": 95.0}, "a"),
     ],
 )
-def test_choose_upstream(failures, expected):
+def test_first_upstream_of_a_search(failures, expected):
     """Guards against a VM that stays on a failed upstream, or that never
     returns to a preferred one."""
     failures = {
         address: next_failure(None, False, failed_at)
         for address, failed_at in failures.items()
     }
-    assert choose_upstream(["a", "b", "c"], failures, 100.0) == expected
+    ordered = order_upstreams(["a", "b", "c"], failures, 100.0)
+    assert ordered[0] == expected
+    assert sorted(ordered) == ["a", "b", "c"]
 
 
-def test_choose_upstream_without_addresses():
+def test_search_without_addresses():
     """Guards against a crash in a fleet of one VM."""
-    assert choose_upstream([], {}, 1.0) is None
+    assert order_upstreams([], {}, 1.0) == []
 
 
 OTHERS = [f"front-{number:02}" for number in range(9)]
@@ -129,9 +145,9 @@
     tried = []
     for step in range(int(duration_s / 0.5)):
         now = step * 0.5
-        address = choose_upstream(
+        address = order_upstreams(
             list_upstreams(settings, state), failures, now
-        )
+        )[0]
         tried.append(address)
         failures[address] = next_failure(
             failures.get(address),
--- a/medlarhollow/distribution/upstreams.py
+++ b/medlarhollow/distribution/upstreams.py
@@ -6,10 +6,10 @@
 
 __all__ = [
     "UpstreamFailure",
-    "choose_upstream",
     "is_usable",
     "list_upstreams",
     "next_failure",
+    "order_upstreams",
 ]
 
 # With a hold of 0.5 s at each of three chained upstreams, a proof is at most
@@ -59,7 +59,8 @@
     -------
     list of str
         First the VMs of this data centre that rank before this one, so that
-        only one of them connects outside it; then the control replicas; then
+        only one of them connects outside it; then the control replicas of the
+        settings and those of the roster, which may have replaced them; then
         the remaining VMs of this and other data centres.
 
     Notes
@@ -69,9 +70,14 @@
     """
     local = settings.vm
     local_address = settings.peer.advertise or settings.peer.listen
+    controls = sorted(
+        vm.peer_address
+        for vm in state.vms.values()
+        if vm.control and vm.state is not VmState.GONE
+    )
     if "control" in local.roles:
         # Among replicas that follow one another, proofs would only age.
-        ordered = [leader, *settings.control.replicas]
+        ordered = [leader, *settings.control.replicas, *controls]
         return _without(ordered, local_address)
     siblings = sorted(
         (vm.name, vm.peer_address)
@@ -89,6 +95,7 @@
     ordered = [
         *addresses[:_MAX_PREFERRED_SIBLINGS],
         *settings.control.replicas,
+        *controls,
         *addresses[_MAX_PREFERRED_SIBLINGS:],
         *settings.peer.data_centre_peers,
         *settings.peer.remote_peers,
@@ -121,8 +128,8 @@
     return UpstreamFailure(count, now + retry_s)
 
 
-def choose_upstream(addresses, failures, now):
-    """Return the upstream to follow next.
+def order_upstreams(addresses, failures, now):
+    """Return the upstreams in the order in which a search tries them.
 
     Parameters
     ----------
@@ -135,16 +142,19 @@
 
     Returns
     -------
-    str or None
-        The first one that is not skipped, otherwise the one that is skipped
-        for the shortest time; None if there is no address.
+    list of str
+        Those that are not skipped, by preference, then the others, those
+        that are skipped for the shortest time first.
     """
-    if not addresses:
-        return None
-    for address in addresses:
-        if address not in failures or failures[address].until <= now:
-            return address
-    return min(addresses, key=lambda address: failures[address].until)
+    skipped_until = {
+        address: failures[address].until
+        for address in addresses
+        if address in failures and failures[address].until > now
+    }
+    available = [
+        address for address in addresses if address not in skipped_until
+    ]
+    return available + sorted(skipped_until, key=skipped_until.get)
 
 
 def is_usable(response, cluster):
--- a/medlarhollow/messages/records.py
+++ b/medlarhollow/messages/records.py
@@ -366,6 +366,7 @@
     peer_address: str = ""
     state: VmState = VmState(0)
     announce_address: str = ""
+    control: bool = False
 
 
 @attrs.frozen
@@ -972,6 +973,7 @@
     versions: "tuple[VersionSample, ...]" = ()
     demands: "tuple[DemandSample, ...]" = ()
     sequence: int = 0
+    immediate: bool = False
 
 
 @attrs.frozen
