Deny requests for their route or key only with a fresh state

Cause: a VM decided for good on a state of any age; only keyed requests were limited in it, and on the platform not at all. A denial differs from service here: a VM that is cut off may go on serving, but it cannot know that a route or key does not exist.

Beyond 2 s without a proof of authority, 404 and 401 become a 503 that says the request has not run, with other entry VMs to ask. A state with a proof that young contains every change acknowledged 2.5 s before.

--- a/medlarhollow/entry/admission.py
+++ b/medlarhollow/entry/admission.py
@@ -11,6 +11,7 @@
 from ..configuration import choose_destination
 from ..configuration import match_route
 from ..configuration.keys import parse_key
+from ..distribution import STALE_PROOF_S
 from ..errors import fail
 from ..messages.records import ErrorKind
 from ..messages.records import Priority
@@ -37,6 +38,8 @@
 # the checks of the route that serves the resolved path.
 _DOT_SEGMENT = re.compile(r"(^|/|\\)\.\.?(;[^/]*)?(/|\\|$)")
 _REPEATED_SLASHES = re.compile("/{2,}")
+# Failures that depend on the configuration and that callers do not retry.
+_DENIALS = (ErrorKind.NOT_FOUND, ErrorKind.UNAUTHENTICATED)
 
 
 @attrs.frozen
@@ -76,6 +79,10 @@
 def admit(vm, caller, now):
     """Find the route of a request and check its key and headers.
 
+    A request is denied for its route or key only if the state is fresh, since
+    a denial is final for the caller and the state may lack a change that
+    allows the request.
+
     Parameters
     ----------
     vm : EntryVm
@@ -90,6 +97,10 @@
     result.Result
         ``Ok(Admission)`` or the failure to report.
     """
+    return _confirm_denial(vm, _admit(vm, caller, now), now)
+
+
+def _admit(vm, caller, now):
     if vm.drain.closing:
         return fail(ErrorKind.DRAINING, "this VM is shutting down")
     if not vm.state_cache.has_proof:
@@ -143,10 +154,12 @@
     result.Result
         ``Ok(account)`` or the failure to report.
     """
-    if admission.slot_request.route.open:
+    route = admission.slot_request.route
+    if route.open:
         return Ok("")
     if not admission.forwarded:
-        return _check_key(vm, admission.slot_request.route, admission.key, now)
+        checked = _check_key(vm, route, admission.key, now)
+        return _confirm_denial(vm, checked, now)
     # The key itself is not forwarded. A forwarded request is therefore
     # refused if its key id was known at admission and is gone now.
     if (
@@ -308,6 +321,19 @@
     )
 
 
+def _confirm_denial(vm, result, now):
+    """Return the result, or a failure that is not final if it may be wrong."""
+    if result.is_ok() or result.err_value.kind not in _DENIALS:
+        return result
+    age_s = vm.state_cache.freshness_age_s(now)
+    if age_s <= STALE_PROOF_S:
+        return result
+    return fail(
+        ErrorKind.STALE_AUTHORITY,
+        f"the state of this VM is too old to tell: {result.err_value.detail}",
+    )
+
+
 def _check_key(vm, route, key, now):
     limit_s = max(vm.settings.limits.key_freshness_limit_s, route.stale_keys_s)
     if vm.state_cache.freshness_age_s(now) > limit_s:
--- a/medlarhollow/entry/tests/test_keys.py
+++ b/medlarhollow/entry/tests/test_keys.py
@@ -146,6 +146,29 @@
     assert len(backend.requests) == (status == 200)
 
 
+@pytest.mark.parametrize(
+    ("path", "is_known", "denial"),
+    [("/elsewhere", True, 404), ("/plots", False, 401)],
+)
+@pytest.mark.parametrize(
+    ("age_s", "is_current"), [(1.9, True), (2.1, False), (60.0, False)]
+)
+async def test_denial_needs_a_fresh_state(
+    path, is_known, denial, age_s, is_current
+):
+    """Guards callers with a new key or route against a final denial by a VM
+    that does not have the change yet."""
+    entry = EntryHarness()
+    entry.add_route("/plots", idempotent=True, stale_keys_s=3600.0)
+    entry.state_cache.age_s = age_s
+    if not is_known:
+        entry.state_cache.state.keys.clear()
+    async with entry.run(FakeBackend(respond())):
+        status, headers, _ = await entry.call(path)
+    assert status == (denial if is_current else 503)
+    assert headers["x-medlarhollow-outcome"] == "not-run"
+
+
 @pytest.mark.parametrize("path", ["/open", "/plots", "/orders"])
 async def test_forwarded_request(path):
     """Guards forwarding between data centres: the second VM serves without
