Ask several replicas at once to join the set

A successor was without a vote for 1.95 s for each replica of its settings that was gone without closing its connections, on top of the time for which it waits for a leader: with two of them it was late for the 4 s for which it counts as lost.

--- a/medlarhollow/agreement/joining.py
+++ b/medlarhollow/agreement/joining.py
@@ -1,6 +1,7 @@
 """Joining the replica set without an operator."""
 
 import asyncio
+import functools
 import logging
 
 from grpclib.exceptions import GRPCError
@@ -11,6 +12,7 @@
 from ..messages.records import SetReplicasRequest
 from ..messages.services import ControlStub
 from ..transport import call
+from ..transport import first_result
 
 __all__ = ["join_cluster"]
 
@@ -21,6 +23,10 @@
 # Limit for one request, in election timeouts: enough for the leader to commit
 # an earlier change of the set and this one.
 _REQUEST_TIMEOUTS = 3
+# Heartbeats without a response after which further replicas are asked as well:
+# several round trips between regions.
+_STAGGER_HEARTBEATS = 2
+_MAX_CONCURRENT = 16
 
 
 async def join_cluster(node, channels):
@@ -54,18 +60,20 @@
 
 
 async def _request_join_from_any(node, channels):
-    addresses = [replica.address for replica in node.log.replicas.replicas]
-    for address in dict.fromkeys(
-        [*node.settings.control.replicas, *addresses]
-    ):
-        if address != node.address and await _request_join(
-            node, channels, address
-        ):
-            return
+    control = node.settings.control
+    members = [replica.address for replica in node.log.replicas.replicas]
+    addresses = dict.fromkeys([*control.replicas, *members])
+    addresses.pop(node.address, None)
+    await first_result(
+        functools.partial(_request_join, node, channels),
+        addresses,
+        _STAGGER_HEARTBEATS * control.heartbeat_s,
+        _MAX_CONCURRENT,
+    )
 
 
 async def _request_join(node, channels, address):
-    """Return whether this replica was added through an address."""
+    """Return the address through which this replica was added, or None."""
     stub = ControlStub(channels.get(address))
     request = SetReplicasRequest(
         replica=Replica(
@@ -82,7 +90,7 @@
             "agreement: request to join through %s failed: %r", address, error
         )
         channels.drop(address)
-        return False
+        return None
     if response.failure is not None:
         detail = response.failure.detail
         _LOG.info(
@@ -90,6 +98,6 @@
             address,
             detail,
         )
-        return False
+        return None
     _LOG.info("agreement: joined the replica set through %s", address)
-    return True
+    return address
--- a/medlarhollow/agreement/tests/test_joining.py
+++ b/medlarhollow/agreement/tests/test_joining.py
@@ -3,12 +3,17 @@
 import asyncio
 
 from medlarhollow import clock
+from medlarhollow.control import ControlService
 
 from .fakes import address_of
 from .fakes import eventually
 from .fakes import FakeCluster
 from .fakes import put_account
 
+# Time after its start for which a replica counts as lost on the platform, in
+# election timeouts there.
+CATCH_UP_TIMEOUTS = 4.0 / 0.65
+
 
 def voters(cluster, name):
     return {
@@ -100,6 +105,23 @@
     await cluster.stop()
 
 
+async def test_joining_does_not_wait_for_each_seed_that_is_gone(tmp_path):
+    """Guards against a successor that is without a vote for longer than a
+    loss may last, while it waits for the replicas of its settings."""
+    cluster = FakeCluster(tmp_path, join="yes")
+    await cluster.start()
+    leader = await cluster.leader()
+    gone = "efghijkl"
+    cluster.bootstrapped = [*gone, *"abc"]
+    for name in gone:
+        cluster.network.serve(address_of(name), [ControlService(None)])
+        cluster.network.isolate(address_of(name), [address_of("d")])
+    await cluster.start("d")
+    limit_s = CATCH_UP_TIMEOUTS * float(cluster.control["election_timeout_s"])
+    await eventually(lambda: voters(cluster, leader) == set("abcd"), limit_s)
+    await cluster.stop()
+
+
 async def test_replica_is_removed_after_silence_from_its_start(tmp_path):
     """Guards against a replica that never responds and stays in the set."""
     cluster = FakeCluster(tmp_path, join="yes", removal_s="0.5")
--- a/medlarhollow/distribution/search.py
+++ b/medlarhollow/distribution/search.py
@@ -1,9 +1,10 @@
 """Search for a usable upstream among several at once."""
 
 import asyncio
-import collections
+import functools
 
 from .. import clock
+from ..transport import first_result
 from .session import probe
 from .session import run_session
 from .session import Session
@@ -38,39 +39,19 @@
 
     Notes
     -----
-    The preferred upstream is asked first. Each time that none has responded
-    for a while, as many again are asked while the earlier ones may still
-    respond, so that the time does not grow with the number of those that are
-    gone; compare the staggered connection attempts of RFC 8305. One that
-    fails is followed by the next one at once. The state cache is updated with
+    The preferred upstream is asked first. The state cache is updated with
     every response, also with those of upstreams that are not selected.
     """
     now = clock.monotonic()
     ordered = order_upstreams(follower.upstreams(), follower.failures, now)
-    waiting = collections.deque(
-        [address for address in ordered if address != excluded][:_MAX_TRIED]
+    addresses = [address for address in ordered if address != excluded]
+    return await first_result(
+        functools.partial(_try_upstream, follower),
+        addresses[:_MAX_TRIED],
+        _STAGGER_S,
+        _MAX_CONCURRENT,
+        discard=lambda session: session.task.cancel(),
     )
-    sessions = []
-    count = 1
-    try:
-        while waiting or sessions:
-            for _ in range(min(count, len(waiting))):
-                sessions.append(_start_session(follower, waiting.popleft()))
-            await _wait_for_first(sessions, is_last=not waiting)
-            for session in sessions:
-                if session.usable.done() and session.usable.result():
-                    sessions.remove(session)
-                    return session
-            ended = [session for session in sessions if session.usable.done()]
-            for session in ended:
-                sessions.remove(session)
-                await session.task
-            count = len(ended) or min(
-                len(sessions), _MAX_CONCURRENT - len(sessions)
-            )
-        return None
-    finally:
-        await _give_up(follower, sessions)
 
 
 async def find_preferred(follower, address):
@@ -99,27 +80,20 @@
                 return
 
 
-def _start_session(follower, address):
+async def _try_upstream(follower, address):
+    """Return a session with an upstream once it is usable, or None."""
     session = Session(address)
     session.task = asyncio.create_task(run_session(follower, session))
-    return session
-
-
-async def _wait_for_first(sessions, is_last):
-    """Wait until a session is usable or ends, or others are to be asked."""
-    await asyncio.wait(
-        {session.usable for session in sessions},
-        timeout=None if is_last else _STAGGER_S,
-        return_when=asyncio.FIRST_COMPLETED,
-    )
-
-
-async def _give_up(follower, sessions):
-    """End the sessions that were slower than the selected one."""
-    now = clock.monotonic()
-    for session in sessions:
+    try:
+        await asyncio.wait({session.usable})
+    except asyncio.CancelledError:
         session.task.cancel()
+        now = clock.monotonic()
         if now - session.requested_at >= _STAGGER_S:
-            follower.record_failure(session.address, now)
-    tasks = [session.task for session in sessions]
-    await asyncio.gather(*tasks, return_exceptions=True)
+            follower.record_failure(address, now)
+        await asyncio.gather(session.task, return_exceptions=True)
+        raise
+    if session.usable.result():
+        return session
+    await session.task
+    return None
