Propose changes to several replicas at once if one is silent

A claim or an order of a VM waited 2 s for each control replica that was gone without closing its connections, so that one within a second's deadline failed although a replica would have accepted it.

The proposal goes to the likely leader, and to as many again each 0.25 s. A change that arrives twice is executed once, by its request identifier or as a claim, as before when it was sent again.

Seen failing before: a proposal with a deadline of 1 s past two silent replicas; passes now, with the other tests of the client and of claims.

--- a/medlarhollow/control/client.py
+++ b/medlarhollow/control/client.py
@@ -1,6 +1,7 @@
 """Client that proposes changes to the control replicas."""
 
 import asyncio
+import functools
 
 from grpclib.exceptions import GRPCError
 from grpclib.exceptions import StreamTerminatedError
@@ -13,11 +14,16 @@
 from ..messages.records import ProposeRequest
 from ..messages.services import ControlStub
 from ..transport import call
+from ..transport import first_result
 
 __all__ = ["ControlClient"]
 
 # Delay after all replicas have failed once; an election may be in progress.
 _RETRY_DELAY_S = 0.1
+# Time without a response after which further replicas are asked as well. A
+# change that arrives twice is executed once.
+_STAGGER_S = 0.25
+_MAX_CONCURRENT = 8
 
 
 class ControlClient:
@@ -61,31 +67,34 @@
             the change may or may not have been accepted.
         """
         request = ProposeRequest(change=change)
-        detail = "no control replica responded before the deadline"
+        details = ["no control replica responded before the deadline"]
         while clock.monotonic() < deadline_at:
-            for address in self._candidates():
-                remaining_s = deadline_at - clock.monotonic()
-                if remaining_s <= 0:
-                    break
-                result = await self._propose_to(address, request, remaining_s)
-                if result is None:
-                    continue
-                if not _is_retryable(result):
-                    return result
-                detail = result.err_value.detail
+            result = await first_result(
+                functools.partial(
+                    self._propose_to, request, deadline_at, details
+                ),
+                self._candidates(),
+                _STAGGER_S,
+                _MAX_CONCURRENT,
+            )
+            if result is not None:
+                return result
             remaining_s = deadline_at - clock.monotonic()
             await asyncio.sleep(max(0.0, min(_RETRY_DELAY_S, remaining_s)))
-        return fail(ErrorKind.NO_QUORUM, detail)
+        return fail(ErrorKind.NO_QUORUM, details[-1])
 
     def _candidates(self):
         """Return the replica addresses, the likely leader first."""
         hint = [self._leader_hint] if self._leader_hint else []
         return list(dict.fromkeys([*hint, *self._settings.control.replicas]))
 
-    async def _propose_to(self, address, request, remaining_s):
-        """Send the request to one replica; return None if the call failed."""
+    async def _propose_to(self, request, deadline_at, details, address):
+        """Return the response of one replica; None if another may accept.
+
+        The reason of a replica that may accept later is added to `details`.
+        """
         stub = ControlStub(self._channels.get(address))
-        # An unresponsive replica must not use up the whole deadline.
+        remaining_s = max(0.0, deadline_at - clock.monotonic())
         timeout_s = min(remaining_s, self._settings.peer.silence_timeout_s)
         try:
             response = await call(stub.Propose, request, timeout_s)
@@ -102,6 +111,9 @@
             self._leader_hint = failure.leader
         elif _is_retryable(Err(failure)) and self._leader_hint == address:
             self._leader_hint = ""
+        if _is_retryable(Err(failure)):
+            details.append(failure.detail)
+            return None
         return Err(failure)
 
 
--- a/medlarhollow/control/tests/test_client.py
+++ b/medlarhollow/control/tests/test_client.py
@@ -90,6 +90,15 @@
     assert await propose(client) == ACCEPTED
 
 
+async def test_silent_replicas_do_not_use_up_a_short_deadline(tmp_path):
+    """Guards orders against the time that each replica that is gone takes."""
+    replicas = {name: FakeReplica(ACCEPTED) for name in "abc"}
+    client, network = make_client(tmp_path, **replicas)
+    for name in "ab":
+        network.cut(address_of(name), "client")
+    assert await propose(client, timeout_s=1.0) == ACCEPTED
+
+
 async def test_deadline_is_respected(tmp_path):
     """Guards against a proposal that continues after the caller's deadline."""
     client, _ = make_client(tmp_path, a=FakeReplica(NO_QUORUM))
