Match routes without resolving escaped slashes

Cause: the decoded path was matched, where an escaped slash looks like one, while the path was forwarded as received. The same for an escaped percent sign, which two paths then share.

Routes are matched with %2F and %25 still escaped; everything else is decoded as before, so that other spellings of a prefix still select it. Where a backend server that resolves the escape would see a route with a key check below an open one, the request is rejected with 400: it would pass without its key. Dot segments are looked for in the decoded path, as before.

--- a/medlarhollow/entry/admission.py
+++ b/medlarhollow/entry/admission.py
@@ -182,11 +182,23 @@
             ErrorKind.BAD_REQUEST, "the path must not contain dot segments"
         )
     host = caller.headers.get("host", "")
-    route = match_route(state, host, path)
-    if match_route(state, host, _REPEATED_SLASHES.sub("/", path)) is not route:
+    segments = caller.segment_path
+    route = match_route(state, host, segments)
+    if (
+        match_route(state, host, _REPEATED_SLASHES.sub("/", segments))
+        is not route
+    ):
         return fail(
             ErrorKind.BAD_REQUEST, "the path must not contain empty segments"
         )
+    resolved = match_route(state, host, _REPEATED_SLASHES.sub("/", path))
+    if route and route.open and resolved and not resolved.open:
+        # A backend server may take an escaped slash for a slash.
+        return fail(
+            ErrorKind.BAD_REQUEST,
+            "the path must not contain the prefix of a route with keys in "
+            "escaped form",
+        )
     if route is None:
         return fail(ErrorKind.NOT_FOUND, "no route matches this path")
     return Ok(route)
--- a/medlarhollow/entry/caller.py
+++ b/medlarhollow/entry/caller.py
@@ -3,6 +3,8 @@
 import asyncio
 import collections
 import functools
+import re
+from urllib.parse import unquote
 
 from starlette.datastructures import Headers
 
@@ -15,6 +17,9 @@
     "ForwardedBody",
 ]
 
+# Escapes of a slash and of a percent sign.
+_SEGMENT_DATA = re.compile("%(2[Ff]|25)")
+
 
 class BodyTooLargeError(Exception):
     """The body of the request exceeds the limit of the configuration."""
@@ -68,9 +73,21 @@
 
     @property
     def path(self):
-        """Percent-decoded path, which is matched against the routes."""
+        """Percent-decoded path."""
         return self._scope["path"]
 
+    @property
+    def segment_path(self):
+        """Percent-decoded path, which is matched against the routes.
+
+        An escaped slash stays escaped, since it is part of a segment (RFC
+        3986, section 2.2); so does a percent sign, so that no other path
+        looks the same.
+        """
+        if "%" not in self.raw_path:
+            return self._scope["path"]
+        return unquote(_SEGMENT_DATA.sub(r"%25\1", self.raw_path))
+
     @property
     def raw_path(self):
         """Path as received, percent-encoded."""
--- a/medlarhollow/entry/tests/test_keys.py
+++ b/medlarhollow/entry/tests/test_keys.py
@@ -4,8 +4,10 @@
 import json
 from urllib.parse import quote
 
+import aiohttp
 import attrs
 import pytest
+import yarl
 
 from medlarhollow.messages.records import Account
 from medlarhollow.messages.records import ClientBlock
@@ -299,6 +301,55 @@
     assert not backend.requests
 
 
+@pytest.mark.parametrize(
+    ("path", "prefix"),
+    [
+        ("/files/bank/17", "/files/bank"),
+        ("/files/bank%2F17", "/files"),
+        ("/files/bank%2f17", "/files"),
+        ("/files%2Fbank/17", ""),
+        ("/files/bank%252F17", "/files"),
+        ("/files/%62ank/17", "/files/bank"),
+        ("/files/b%C3%A4nk/17", "/files/b\u00e4nk"),
+    ],
+)
+async def test_escaped_slash_selects_no_other_route(path, prefix):
+    """Guards against a request for an object with a slash in its name that
+    runs at the service, or with the key check, of another route."""
+    backend = FakeBackend(respond())
+    entry = EntryHarness()
+    for route in ("/files", "/files/bank", "/files/b\u00e4nk"):
+        entry.add_route(route, idempotent=True)
+    async with entry.run(backend):
+        url = yarl.URL(f"http://{entry.address}{path}", encoded=True)
+        headers = {"x-medlarhollow-key": entry.key}
+        async with (
+            aiohttp.ClientSession() as session,
+            session.get(url, headers=headers) as response,
+        ):
+            assert response.status == (200 if prefix else 404)
+    prefixes = [r.route.path_prefix for r in entry.dispatcher.slot_requests]
+    assert prefixes == [prefix][: bool(prefix)]
+    for request in backend.requests:
+        assert request.head.startswith(f"GET {path} ".encode())
+
+
+async def test_escaped_slash_does_not_bypass_the_key_check():
+    """Guards a keyed route below an open one against a backend server that
+    takes an escaped slash for a slash."""
+    backend = FakeBackend(respond())
+    entry = EntryHarness()
+    entry.add_route("/", open=True, idempotent=True)
+    async with entry.run(backend):
+        url = yarl.URL(f"http://{entry.address}/plots%2F7", encoded=True)
+        async with (
+            aiohttp.ClientSession() as session,
+            session.get(url) as response,
+        ):
+            assert response.status == 400
+    assert not backend.requests
+
+
 @pytest.mark.parametrize(
     "name", ["X-Medlarhollow-Key", "Idempotency-Key", "Host", "X-Deadline-Ms"]
 )
