Read the body of a request that asks for an upgrade as its body

Cause: the parser ends a request with an upgrade at its head and leaves the rest to whoever switches the protocol. Nobody does here, and the rest was parsed as requests, or dropped. An upgrade that is not taken up is to be ignored (RFC 9110, section 7.8).

The body that the head declares is now read by a parser that is told its framing.

--- a/medlarhollow/daemon/head_limits.py
+++ b/medlarhollow/daemon/head_limits.py
@@ -4,6 +4,7 @@
 import socket
 import struct
 
+import httptools
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
 from .disconnect import has_disconnected
@@ -48,6 +49,8 @@
         self._fault = "malformed"
         self._is_refused = False
         self._is_head_suspended = False
+        # Whether the parser reads a head that only describes a body.
+        self._is_resuming = False
 
     def connection_made(self, transport):
         """Start the timeout of the first head."""
@@ -62,7 +65,8 @@
     def data_received(self, data):
         """Parse data and enforce the size limit on an incomplete head."""
         started_in_head = self._in_head
-        super().data_received(data)
+        self._unset_keepalive_if_required()
+        self._parse(data)
         if not (started_in_head and self._in_head):
             return
         self._received_head_bytes += len(data)
@@ -75,6 +79,8 @@
 
     def on_message_begin(self):
         """Reset the byte counts and start the timeout of a new head."""
+        if self._is_resuming:
+            return
         super().on_message_begin()
         self._in_head = True
         self._received_head_bytes = self._parsed_head_bytes = 0
@@ -83,20 +89,32 @@
 
     def on_url(self, url):
         """Count and store a part of the request target."""
+        if self._is_resuming:
+            return
         self._count_head_bytes(len(url))
         super().on_url(url)
 
     def on_header(self, name, value):
         """Count and store a header."""
+        if self._is_resuming:
+            return
         self._count_head_bytes(len(name) + len(value))
         super().on_header(name, value)
 
     def on_headers_complete(self):
         """Stop the timeout of the head."""
+        if self._is_resuming:
+            return
+        self._check_framing()
         self._in_head = False
         self._stop_head_timer()
         super().on_headers_complete()
 
+    def on_message_complete(self):
+        """End the request unless its body is still to be read."""
+        if not self.parser.should_upgrade():
+            super().on_message_complete()
+
     def send_400_response(self, msg):
         """Refuse a head, or abort if requests are pending."""
         if self._has_pending_requests():
@@ -156,6 +174,43 @@
             )
         self.transport.abort()
 
+    def _parse(self, data):
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserError:
+            self.send_400_response("")
+        except httptools.HttpParserUpgrade as upgrade:
+            (head_bytes,) = upgrade.args
+            self._read_body()
+            self._parse(data[head_bytes:])
+
+    def _read_body(self):
+        """Read the body of a request that asks for an upgrade.
+
+        The parser ends such a request at its head. This server does not
+        upgrade, so the request has the body that its head declares (RFC 9110,
+        section 7.8).
+        """
+        declared = b"".join(
+            b"%b: %b\r\n" % (name, value)
+            for name, value in self.scope["headers"]
+            if name in (b"content-length", b"transfer-encoding")
+        )
+        if not self.parser.should_keep_alive():
+            declared += b"connection: close\r\n"
+        self.parser = httptools.HttpRequestParser(self)
+        self._is_resuming = True
+        self.parser.feed_data(b"POST / HTTP/1.1\r\n%b\r\n" % declared)
+        self._is_resuming = False
+
+    def _check_framing(self):
+        """Raise ValueError if the end of the request is not certain."""
+        if self.parser.get_method() == b"CONNECT":
+            raise ValueError("CONNECT is not supported")
+        for name, value in self.scope["headers"]:
+            if name == b"transfer-encoding" and value.lower() != b"chunked":
+                raise ValueError("the transfer encoding is not supported")
+
     def _has_pending_requests(self):
         return self.cycle is not None and not self.cycle.response_complete
 
--- a/medlarhollow/daemon/protocol.py
+++ b/medlarhollow/daemon/protocol.py
@@ -141,6 +141,8 @@
     def on_message_begin(self):
         """Reset the byte counts and start the timeout of a new head."""
         super().on_message_begin()
+        if self._is_resuming:
+            return
         self.scope["extensions"] = {
             "medlarhollow.abort": self.abort,
             "medlarhollow.has_left": self.has_left,
@@ -156,6 +158,8 @@
 
     def on_headers_complete(self):
         """Queue the request and start it if permitted."""
+        if self._is_resuming:
+            return
         self._dropped_bytes = 0
         self._defer_start = True
         super().on_headers_complete()
