End the connections of the fake server without a report

Two tests of the request log failed on Python 3.11.7: the standard library asked the tasks of the fake server's connections, which the server had cancelled, for their exceptions, and logged the failure of that callback as a second record.

The fake server runs its connections in tasks of its own, to which the standard library adds no callback. The fixture that counts the records of all loggers is unchanged.

--- a/medlarhollow/entry/tests/fakes.py
+++ b/medlarhollow/entry/tests/fakes.py
@@ -71,7 +71,7 @@
 
     async def __aenter__(self):
         self._server = await asyncio.start_server(
-            self._serve, "127.0.0.1", 0, limit=2**20
+            self._accept, "127.0.0.1", 0, limit=2**20
         )
         port = self._server.sockets[0].getsockname()[1]
         self.address = f"127.0.0.1:{port}"
@@ -83,8 +83,14 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
+    def _accept(self, reader, writer):
+        """Serve a connection in a task of this server.
+
+        The standard library reports its own tasks that are cancelled.
+        """
+        self._tasks.add(asyncio.create_task(self._serve(reader, writer)))
+
     async def _serve(self, reader, writer):
-        self._tasks.add(asyncio.current_task())
         self.connections += 1
         number = self.connections
         try:
