Let accounts with one bucket have tokens soon after their allocator is lost

Cause: such an account has one bucket in the fleet. Its allocator was frozen at second 2; the successor on another VM waited 12.2 s, the lease of an allocator that may be cut off, of which 10 s are for routes that are served without contact with control. Accounts with a share in every data centre lose a ninth of it meanwhile, one with a single bucket all.

For accounts that never had a burst that is divided (32 tokens), the lease is extended by 2 s at most, for the predecessor and the successor alike; the others are as before. That a burst was ever divided is replicated and stays, so that an allocator with an older state stops no later than its successor assumes, whatever the order of changes.

Seen failing before: the new test of a successor (no tokens after 6.1 s where 62 s are waited for). All tests of limits, configuration and control pass. The test of both allocators with different states holds for each order; it passes without the change too.

--- a/medlarhollow/configuration/accounts.py
+++ b/medlarhollow/configuration/accounts.py
@@ -14,6 +14,7 @@
 from .shares import group_shares
 from .shares import MAX_RATE_OR_BURST
 from .shares import scale_down_shares
+from .shares import store_account
 
 __all__ = ["remove_account"]
 
@@ -59,7 +60,7 @@
             ErrorKind.BAD_REQUEST,
             f"burst must be from 1 to {MAX_RATE_OR_BURST:g}",
         )
-    state.accounts[account.name] = account
+    store_account(state, account)
     shares = group_shares(state).get(account.name, {})
     scale_down_shares(state, account, shares)
     return Ok(None)
--- a/medlarhollow/configuration/replacement.py
+++ b/medlarhollow/configuration/replacement.py
@@ -16,6 +16,7 @@
 from .shares import group_shares
 from .shares import MAX_RATE_OR_BURST
 from .shares import scale_down_shares
+from .shares import store_account
 
 __all__ = ["ROUTE_TIMEOUT_LIMIT_S", "check_configuration"]
 
@@ -102,7 +103,7 @@
         remove_account(state, name)
     shares = group_shares(state)
     for account in new_accounts.values():
-        state.accounts[account.name] = account
+        store_account(state, account)
         if account.rate_per_s:
             scale_down_shares(state, account, shares.get(account.name, {}))
 
--- a/medlarhollow/configuration/shares.py
+++ b/medlarhollow/configuration/shares.py
@@ -13,15 +13,54 @@
 from .apply import apply
 from .names import check_name
 
-__all__ = ["MAX_RATE_OR_BURST", "group_shares", "scale_down_shares"]
+__all__ = [
+    "MAX_RATE_OR_BURST",
+    "count_shares",
+    "group_shares",
+    "scale_down_shares",
+    "store_account",
+]
 
 # Keeps sums of rates and of bursts from overflowing.
 MAX_RATE_OR_BURST = 1e12
+# Smallest burst of a share. Buckets that hold few tokens each keep fractions
+# that no request can use, and wait for reports before they refill.
+_MIN_SHARE_BURST = 16.0
 # Absorbs the rounding of floating-point sums, relative to the limit of the
 # account.
 _RELATIVE_TOLERANCE = 1e-9
 
 
+def count_shares(account, data_centres):
+    """Return the number of data centres that share an account.
+
+    Parameters
+    ----------
+    account : Account
+        Its burst is divided.
+    data_centres : int
+        Number of data centres that may have a share.
+    """
+    if account.burst < 1:
+        return 0
+    return min(data_centres, max(1, int(account.burst / _MIN_SHARE_BURST)))
+
+
+def store_account(state, account):
+    """Add or replace an account.
+
+    Parameters
+    ----------
+    state : FleetState
+        Modified in place.
+    account : Account
+        The account with its new rate and burst.
+    """
+    state.accounts[account.name] = account
+    if account.burst >= 2 * _MIN_SHARE_BURST:
+        state.divided_accounts.add(account.name)
+
+
 def group_shares(state):
     """Group the shares of all accounts by account.
 
--- a/medlarhollow/configuration/state.py
+++ b/medlarhollow/configuration/state.py
@@ -39,6 +39,10 @@
         Largest `stale_keys_s` that any route ever had, in seconds. It never
         decreases, since a partitioned VM may still use an older version of
         the route.
+    divided_accounts : set of str
+        Accounts that ever had a burst that is divided over data centres. None
+        is removed, since a partitioned VM may still use an older version of
+        the account.
     shift : Shift or None
         The active preset and the progress of the shift to it.
     configuration_version : int
@@ -66,6 +70,7 @@
     time_s: float = 0.0
     blocks_revision: int = 0
     longest_stale_keys_s: float = 0.0
+    divided_accounts: set = attrs.field(factory=set)
     accounts: dict = attrs.field(factory=dict)
     keys: dict = attrs.field(factory=dict)
     services: dict = attrs.field(factory=dict)
@@ -105,6 +110,7 @@
             time_s=self.time_s,
             blocks_revision=self.blocks_revision,
             longest_stale_keys_s=self.longest_stale_keys_s,
+            divided_accounts=tuple(sorted(self.divided_accounts)),
             shift=self.shift,
             configuration_version=self.configuration_version,
             document=self.document,
@@ -136,6 +142,7 @@
             time_s=snapshot.time_s,
             blocks_revision=snapshot.blocks_revision,
             longest_stale_keys_s=snapshot.longest_stale_keys_s,
+            divided_accounts=set(snapshot.divided_accounts),
             shift=snapshot.shift,
             configuration_version=snapshot.configuration_version,
             document=snapshot.document,
--- a/medlarhollow/configuration/tests/test_shares.py
+++ b/medlarhollow/configuration/tests/test_shares.py
@@ -5,11 +5,13 @@
 import pytest
 
 from medlarhollow.configuration import check_author
+from medlarhollow.configuration import FleetState
 from medlarhollow.configuration.shares import group_shares
 from medlarhollow.messages.records import Account
 from medlarhollow.messages.records import Allocator
 from medlarhollow.messages.records import Change
 from medlarhollow.messages.records import ClientBlock
+from medlarhollow.messages.records import DeleteAccount
 from medlarhollow.messages.records import ErrorKind
 from medlarhollow.messages.records import FinishMove
 from medlarhollow.messages.records import Link
@@ -223,3 +225,16 @@
     """Operators as well as the leader may roll moves back."""
     body = RollBackMove("m1", "")
     assert check_author(Change(author="ada", body=body)).is_ok()
+
+
+def test_account_counts_as_divided_for_good():
+    """Guards against two allocators with different leases for an account
+    whose burst was lowered while one of them was partitioned."""
+    state = make_state()
+    for name, burst in (("big", 100.0), ("small", 31.0), ("big", 2.0)):
+        assert_accepted(state, PutAccount(Account(name, 1.0, burst)))
+    assert_accepted(state, DeleteAccount("big"))
+    assert "big" in state.divided_accounts
+    assert "small" not in state.divided_accounts
+    restored = FleetState.from_snapshot(state.snapshot())
+    assert restored.divided_accounts == state.divided_accounts
--- a/medlarhollow/control/leases.py
+++ b/medlarhollow/control/leases.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from ..configuration.leases import effective_allocator_lease_s
+from ..configuration.leases import account_lease_s
 
 __all__ = ["LeaseMonitor"]
 
@@ -128,7 +128,7 @@
         epoch, since = self._share_epochs.get(key, (None, now))
         if epoch != share.epoch:
             epoch, since = self._share_epochs[key] = (share.epoch, now)
-        lease_s = effective_allocator_lease_s(state, self._limits)
+        lease_s = account_lease_s(state, self._limits, share.account)
         wait_s = lease_s + self._limits.batch_lease_s
         return now - since > wait_s * (1 + _MAX_CLOCK_DRIFT)
 
--- a/medlarhollow/control/shares.py
+++ b/medlarhollow/control/shares.py
@@ -3,6 +3,7 @@
 import hashlib
 import math
 
+from ..configuration.shares import count_shares
 from ..configuration.shares import group_shares
 from ..messages.records import SetShares
 from ..messages.records import Share
@@ -20,9 +21,6 @@
 _MAX_REJECTED_FRACTION = 0.01
 # Relative tolerance for rounding errors.
 _TOLERANCE = 1e-6
-# Smallest burst of a share. Buckets that hold few tokens each keep fractions
-# that no request can use, and wait for reports before they refill.
-_MIN_BURST = 16.0
 
 
 def plan_shares(state, demand, leases, now):
@@ -86,7 +84,7 @@
         not suffice for all data centres, those with the least demand get no
         share.
     """
-    count = _count_shares(account, weights)
+    count = count_shares(account, len(weights))
     chosen = sorted(
         weights,
         key=lambda data_centre: (
@@ -119,13 +117,6 @@
     return hashlib.blake2b(text, digest_size=8).digest()
 
 
-def _count_shares(account, data_centres):
-    """Return the number of data centres that share an account."""
-    if account.burst < 1:
-        return 0
-    return min(len(data_centres), max(1, int(account.burst / _MIN_BURST)))
-
-
 def _plan_account(state, name, shares, active, demand, leases, now):
     account = state.accounts[name]
     released = _release_unused(state, shares, active, leases, now)
@@ -254,7 +245,7 @@
     dividing all accounts in every round took most of the leader's time. False
     does not mean that a transfer is due.
     """
-    count = _count_shares(account, active)
+    count = count_shares(account, len(active))
     floor = _FLOOR_FRACTION * account.rate_per_s / max(1, count)
     if _count_holders(shares) > count:
         return False
--- a/medlarhollow/limits/allocator.py
+++ b/medlarhollow/limits/allocator.py
@@ -2,7 +2,9 @@
 
 import logging
 
+from ..configuration.leases import account_lease_s
 from ..configuration.leases import effective_allocator_lease_s
+from ..configuration.leases import undivided_lease_s
 from ..messages.records import ErrorKind
 from ..messages.records import Failure
 from ..messages.records import TokenResponse
@@ -41,7 +43,8 @@
     predecessor was an earlier process of the same VM, which has ended. It
     also waits until the leases of all batches issued so far have expired.
     Its buckets start empty. So two allocators are never active at the same
-    time, whenever control appoints the second.
+    time, whenever control appoints the second. Accounts with one bucket in
+    the fleet have a shorter lease, and their buckets start earlier.
     """
 
     def __init__(self, settings, state_cache, incarnation, now):
@@ -53,6 +56,7 @@
         self._last_batch_at = now
         self._epoch = None
         self._starts_at = float("inf")
+        self._undivided_starts_at = float("inf")
         self._buckets = {}
         self._applied_revision = None
         self._last_batch_id = 0
@@ -81,13 +85,13 @@
             return _failure_response(
                 ErrorKind.NOT_LEADER, "this VM is not the allocator"
             )
-        if not self._is_fresh(now):
+        if not self._is_fresh(request.account, now):
             return _failure_response(
                 ErrorKind.STALE_AUTHORITY, "the allocator lease has expired"
             )
         bucket = self._buckets.get(request.account)
-        if now < self._starts_at:
-            wait_s = self._starts_at - now
+        wait_s = self._start_of(request.account) - now
+        if wait_s > 0:
             return TokenResponse(wait_s=wait_s, epoch=self._epoch)
         if bucket is None:
             return TokenResponse(
@@ -160,12 +164,18 @@
             settle_soon=bucket.is_refill_limited,
         )
 
-    def _is_fresh(self, now):
+    def _is_fresh(self, account, now):
         age_s = self._state_cache.freshness_age_s(now)
-        return age_s < effective_allocator_lease_s(
-            self._state_cache.state, self._limits
+        return age_s < account_lease_s(
+            self._state_cache.state, self._limits, account
         )
 
+    def _start_of(self, account):
+        """Return when the bucket of an account starts to issue tokens."""
+        if account in self._state_cache.state.divided_accounts:
+            return self._starts_at
+        return self._undivided_starts_at
+
     def _shares(self):
         return [
             share
@@ -203,24 +213,33 @@
         self._buckets.clear()
         self._applied_revision = None
         self._share_epoch = 0
-        self._starts_at = self._earliest_start(appointment, now)
+        state, limits = self._state_cache.state, self._limits
+        self._starts_at = self._earliest_start(
+            appointment, effective_allocator_lease_s(state, limits), now
+        )
+        self._undivided_starts_at = self._earliest_start(
+            appointment, undivided_lease_s(state, limits), now
+        )
         _LOG.info(
-            "limits: allocator of %s in epoch %d; issuing tokens in %.2f s",
+            "limits: allocator of %s in epoch %d; issuing tokens in %.2f s, "
+            "of accounts with one bucket in %.2f s",
             self._local_vm.data_centre,
             appointment.epoch,
             self._starts_at - now,
+            self._undivided_starts_at - now,
         )
 
-    def _earliest_start(self, appointment, now):
-        """Return when no token of a predecessor can be spent any more."""
+    def _earliest_start(self, appointment, lease_s, now):
+        """Return when no token of a predecessor can be spent any more.
+
+        The lease is that of the predecessor, from its proof of authority.
+        """
         if not appointment.has_predecessor:
             return now
         wait_s = self._limits.batch_lease_s
         last_batch_at = now
         if appointment.predecessor_may_run:
-            wait_s += effective_allocator_lease_s(
-                self._state_cache.state, self._limits
-            )
+            wait_s += lease_s
         else:
             # The predecessor had ended when this process started; only
             # batches issued before can still be spent.
@@ -233,7 +252,7 @@
             bucket = self._buckets.get(account)
             if bucket is None:
                 # The bucket refills from the start of the epoch only.
-                start = max(now, self._starts_at)
+                start = max(now, self._start_of(account))
                 self._buckets[account] = EscrowBucket(
                     share.rate_per_s, share.burst, start
                 )
--- a/medlarhollow/limits/tests/test_allocator.py
+++ b/medlarhollow/limits/tests/test_allocator.py
@@ -296,3 +296,63 @@
     assert allocator.share_epoch(10.0) == 0
     assert allocator.share_epoch(10.0 + wait_s * 0.99) == 0
     assert allocator.share_epoch(10.0 + wait_s * 1.02) > 0
+
+
+# Extension of the lease for accounts with one bucket.
+UNDIVIDED_S = 2.0
+
+
+@pytest.mark.parametrize(
+    ("is_divided", "wait_s"),
+    [
+        (False, LEASES_S + UNDIVIDED_S),
+        (True, LEASES_S + STALE_KEYS_S),
+    ],
+)
+def test_account_with_one_bucket_has_tokens_soon_after_a_loss(
+    is_divided, wait_s
+):
+    """Guards a small account, which has no tokens elsewhere, against the
+    whole lease of an allocator that may be partitioned."""
+    allocator, state_cache = make_successor(True, started_at=50.0)
+    state = state_cache.state
+    state.longest_stale_keys_s = STALE_KEYS_S
+    appointment = state.allocators["north-a"]
+    state.allocators["north-a"] = attrs.evolve(appointment, epoch=3)
+    state.divided_accounts.update(["crew"][:is_divided])
+    state.revision += 1
+    assert acquire(allocator, state_cache, 100.0).tokens == 0
+    assert acquire(allocator, state_cache, 100.0 + 0.99 * wait_s).tokens == 0
+    response = acquire(allocator, state_cache, 100.1 + 1.02 * wait_s, 1.0)
+    assert response.tokens == 1
+
+
+@pytest.mark.parametrize("is_divided", [False, True])
+@pytest.mark.parametrize("becomes_divided", [False, True])
+def test_predecessor_stops_before_its_successor_starts(
+    is_divided, becomes_divided
+):
+    """Guards the rate of an account whose burst is changed while its
+    allocator is partitioned, so that both use different states."""
+    predecessor, old = make_allocator(now=100.0)
+    old.state.longest_stale_keys_s = STALE_KEYS_S
+    old.state.divided_accounts.update(["crew"][:is_divided])
+    successor, new = make_successor(True, started_at=50.0)
+    new.state.longest_stale_keys_s = STALE_KEYS_S
+    new.state.divided_accounts |= old.state.divided_accounts
+    new.state.divided_accounts.update(["crew"][:becomes_divided])
+    appointment = new.state.allocators["north-a"]
+    new.state.allocators["north-a"] = attrs.evolve(appointment, epoch=3)
+    new.state.revision += 1
+    successor.share_epoch(100.0)
+    # The last proof of the predecessor is from before the appointment.
+    old.proof_at = 100.0
+    issued_at, started_at = 100.0, None
+    for step in range(1, 800):
+        now = 100.0 + step / 10
+        if predecessor.acquire(TokenRequest("crew", 1.0), now).tokens:
+            issued_at = now
+        if acquire(successor, new, now, 0.1).tokens and started_at is None:
+            started_at = now
+    assert issued_at > 100.0
+    assert started_at >= issued_at + BATCH_S
--- a/medlarhollow/messages/records.py
+++ b/medlarhollow/messages/records.py
@@ -708,6 +708,7 @@
     limits: "CallerLimits | None" = None
     evacuations: "tuple[Evacuation, ...]" = ()
     ended_evacuations: "tuple[Evacuation, ...]" = ()
+    divided_accounts: "tuple[str, ...]" = ()
     requests: "tuple[RequestRecord, ...]" = ()
     claims: "tuple[ClaimRecord, ...]" = ()
     orders: "tuple[OrderRecord, ...]" = ()
