End a search for upstreams that waits only for those that are gone

A VM that had asked all control replicas during an outage asked them again only after the whole timeout of those that were gone, 1.5 s, and a pause of up to a second more: up to 2.8 s after a leader was there again.

An upstream that is late in a search counts as gone once another one has responded since it was asked, also without a proof; the search ends, and the next one follows after 0.2 s. If none responds, the link of the VM itself may be slow, and the whole timeout is waited for as before.

Seen failing before: one of 15 cases of the new test, by its phase (three replicas gone, an outage of 4.0 s: not in force within 2.5 s). All 15 pass, with the tests of distribution and those of replaced control VMs.

--- a/medlarhollow/distribution/follow.py
+++ b/medlarhollow/distribution/follow.py
@@ -46,8 +46,11 @@
     while True:
         while follower.is_local_leader:
             await _mirror_local_replica(follower)
+        began_at = clock.monotonic()
         session = await find_session(follower)
         if session is None:
+            if follower.responded_at >= began_at:
+                retry_s = _RETRY_INTERVAL_S
             await asyncio.sleep(retry_s)
             retry_s = min(2 * retry_s, _MAX_RETRY_INTERVAL_S)
             continue
--- a/medlarhollow/distribution/follower.py
+++ b/medlarhollow/distribution/follower.py
@@ -50,6 +50,8 @@
     consecutive_late : int
         Late responses that came before those of other upstreams, since the
         last one in time.
+    responded_at : float
+        Monotonic time in seconds of the last response of any upstream.
     is_proof_lost : bool
         Whether the loss of the proof of authority was logged.
     """
@@ -63,6 +65,7 @@
     failures: dict = attrs.field(factory=dict)
     consecutive_timeouts: int = 0
     consecutive_late: int = 0
+    responded_at: float = float("-inf")
     is_proof_lost: bool = False
 
     @property
@@ -94,6 +97,26 @@
         leader = self.replica.leader_address if self.replica else ""
         return list_upstreams(self.settings, self.state_cache.state, leader)
 
+    def is_gone(self, asked_at, now):
+        """Return whether an upstream that has not responded is gone.
+
+        Parameters
+        ----------
+        asked_at : float
+            Monotonic time in seconds at which it was asked.
+        now : float
+            Monotonic time in seconds.
+
+        Returns
+        -------
+        bool
+            True if it is late and another one has responded meanwhile, so
+            that a slow link of this VM is not the reason.
+        """
+        return (
+            now - asked_at >= _LATE_RESPONSE_S and self.responded_at > asked_at
+        )
+
     def record_response(self, address, elapsed_s):
         """Record that an upstream has responded with a fresh proof.
 
--- a/medlarhollow/distribution/search.py
+++ b/medlarhollow/distribution/search.py
@@ -84,16 +84,28 @@
     """Return a session with an upstream once it is usable, or None."""
     session = Session(address)
     session.task = asyncio.create_task(run_session(follower, session))
+    asked_at = clock.monotonic()
     try:
-        await asyncio.wait({session.usable})
+        while not session.usable.done():
+            await asyncio.wait({session.usable}, timeout=_STAGGER_S)
+            if follower.is_gone(asked_at, clock.monotonic()):
+                break
+        if session.usable.done() and session.usable.result():
+            return session
     except asyncio.CancelledError:
-        session.task.cancel()
-        now = clock.monotonic()
-        if now - session.requested_at >= _STAGGER_S:
-            follower.record_failure(address, now)
-        await asyncio.gather(session.task, return_exceptions=True)
+        await _give_up(follower, session)
         raise
-    if session.usable.result():
-        return session
+    if not session.usable.done():
+        await _give_up(follower, session)
+        return None
     await session.task
     return None
+
+
+async def _give_up(follower, session):
+    """End a session that is slower than others."""
+    session.task.cancel()
+    now = clock.monotonic()
+    if now - session.requested_at >= _STAGGER_S:
+        follower.record_failure(session.address, now)
+    await asyncio.gather(session.task, return_exceptions=True)
--- a/medlarhollow/distribution/session.py
+++ b/medlarhollow/distribution/session.py
@@ -136,6 +136,7 @@
     await stream.send_message(_build_request(follower, sequence, now))
     response = await stream.recv_message()
     follower.consecutive_timeouts = 0
+    follower.responded_at = clock.monotonic()
     session.responded.set()
     if response is None:
         raise StreamTerminatedError("upstream closed the Sync stream")
--- a/medlarhollow/distribution/tests/test_silent_upstreams.py
+++ b/medlarhollow/distribution/tests/test_silent_upstreams.py
@@ -176,3 +176,29 @@
     await deployment.commit(put_account("x"), 1)
     await deployment.wait_for_revision(1)
     await deployment.stop()
+
+
+@pytest.mark.parametrize("gone", [1, 3, 9])
+@pytest.mark.parametrize("outage_s", [4.0, 4.5, 5.0, 5.5, 6.0])
+async def test_end_of_an_outage_is_noticed_beside_silent_upstreams(
+    gone, outage_s
+):
+    """Guards against a VM that waits for replicas that are gone while the
+    others, which had no leader when it asked them, have one again."""
+    deployment = Deployment(range(1, gone + 3))
+    for number in range(1, gone + 3):
+        deployment.serve(number)
+    deployment.silence(*range(1, gone + 1))
+    alive = [deployment.controls[gone + 1], deployment.controls[gone + 2]]
+    await deployment.commit(put_account("x"))
+    deployment.start()
+    await deployment.wait_for_revision(1)
+    await eventually(lambda: alive[0].streams + alive[1].streams == 1)
+    for control in alive:
+        control.proof_at = float("-inf")
+    await asyncio.sleep(outage_s)
+    await deployment.commit(put_account("y"))
+    for control in alive:
+        control.proof_at = None
+    await deployment.wait_for_revision(2)
+    await deployment.stop()
