Let control VMs follow the leader, and appoint registries first

With several upstreams asked at once a control VM may follow another replica, which passes on the reports of its VM half a second later.

A replica leaves another one as soon as it knows a leader that it has not just failed to reach. In a fleet with registries no entry VM is appointed in a data centre without an allocator before a new leader has waited for all VMs to report, so that the order of the reports does not matter.

Seen failing before: the new test of appointments; the test of the decision to leave a replica covers a new function. Tests of control and distribution pass.

--- a/medlarhollow/control/allocators.py
+++ b/medlarhollow/control/allocators.py
@@ -9,7 +9,7 @@
 __all__ = ["plan_allocators"]
 
 
-def plan_allocators(state, leases, now):
+def plan_allocators(state, leases, now, registries_known=True):
     """Plan the appointments of allocators that are due.
 
     Parameters
@@ -20,6 +20,10 @@
         Determines which leases have expired.
     now : float
         Monotonic time in seconds.
+    registries_known : bool
+        Whether every registry has had enough time to join the roster. Until
+        then no entry VM is appointed in a data centre without an allocator,
+        since a registry that replaces it later has to wait for its lease.
 
     Returns
     -------
@@ -43,6 +47,11 @@
         if _needs_appointment(
             state.allocators.get(data_centre), vm, leases, now
         )
+        and (
+            registries_known
+            or vm.announce_address
+            or data_centre in state.allocators
+        )
     ]
 
 
--- a/medlarhollow/control/leader_tasks.py
+++ b/medlarhollow/control/leader_tasks.py
@@ -142,6 +142,7 @@
         self._roster_complete_at = (
             now + settings.control.vm_lease_s + _ROSTER_MARGIN_S
         )
+        self._has_registries = settings.backends.scope == "fleet"
         self._leases = LeaseMonitor(settings, now)
         self._demand = DemandEstimator(DEMAND_PERIOD_S, now)
         self._moves = MoveController()
@@ -161,7 +162,9 @@
         list of SetAllocator
             These are also part of the result of :meth:`plan`.
         """
-        return plan_allocators(state, self._leases, now)
+        return plan_allocators(
+            state, self._leases, now, self._are_registries_known(now)
+        )
 
     def plan(self, state, reports, versions, demands, now, unix_now):
         """Plan the changes that are due.
@@ -196,7 +199,7 @@
         changes += [
             change.body for change in plan_roster(state, reports, complete)
         ]
-        changes += plan_allocators(state, self._leases, now)
+        changes += self.plan_allocators(state, now)
         for change in (
             plan_shift(state, unix_now),
             plan_shares(state, self._demand, self._leases, now),
@@ -204,3 +207,6 @@
             if change is not None:
                 changes.append(change)
         return changes
+
+    def _are_registries_known(self, now):
+        return not self._has_registries or now >= self._roster_complete_at
--- a/medlarhollow/control/tests/fleet.py
+++ b/medlarhollow/control/tests/fleet.py
@@ -8,6 +8,7 @@
 from medlarhollow.messages.records import SetVm
 from medlarhollow.messages.records import Vm
 from medlarhollow.messages.records import VmReport
+from medlarhollow.settings.generated import BackendsSettings
 from medlarhollow.settings.generated import ControlSettings
 from medlarhollow.settings.generated import LimitsSettings
 
@@ -17,6 +18,7 @@
 class Settings:
     """The sections of the settings that the leader tasks read."""
 
+    backends = BackendsSettings()
     control = ControlSettings(replicas=())
     limits = LimitsSettings(allocator_lease_s=LEASE_S)
 
--- a/medlarhollow/control/tests/test_allocators.py
+++ b/medlarhollow/control/tests/test_allocators.py
@@ -149,3 +149,18 @@
     assert plan_by_data_centre(state, make_leases(), 0.0) == {
         "dc-a": ("a9", "i1")
     }
+
+
+def test_entry_vm_is_not_appointed_before_registries_are_known():
+    """Guards against an entry VM that reports first and whose successor, a
+    registry, has to wait for its lease after each restart of the fleet."""
+    state = make_state("a1", "b1")
+    for name in ("a1", "b1"):
+        accept(state, SetVm(attrs.evolve(vm(name), caller_address="h:1")))
+    leases = make_leases()
+    assert plan_allocators(state, leases, 0.0, registries_known=False) == []
+    registry = attrs.evolve(vm("a2"), announce_address="h:2")
+    accept(state, SetVm(registry))
+    (change,) = plan_allocators(state, leases, 0.0, registries_known=False)
+    assert change.allocator.vm == "a2"
+    assert len(plan_allocators(state, leases, 0.0)) == 2
--- a/medlarhollow/distribution/follow.py
+++ b/medlarhollow/distribution/follow.py
@@ -102,6 +102,10 @@
             if preferred.done():
                 preferred.result()
                 session.is_superseded = True
+            if follower.should_follow_leader(
+                session.address, clock.monotonic()
+            ):
+                session.is_superseded = True
         if not session.task.cancelled():
             session.task.result()
         return None
--- a/medlarhollow/distribution/follower.py
+++ b/medlarhollow/distribution/follower.py
@@ -97,6 +97,27 @@
         leader = self.replica.leader_address if self.replica else ""
         return list_upstreams(self.settings, self.state_cache.state, leader)
 
+    def should_follow_leader(self, address, now):
+        """Return whether to leave an upstream for the control leader.
+
+        A replica that follows another one passes on the reports of its VM
+        half a second later than one that follows the leader.
+
+        Parameters
+        ----------
+        address : str
+            Of the upstream.
+        now : float
+            Monotonic time in seconds.
+        """
+        if self.replica is None:
+            return False
+        leader = self.replica.leader_address
+        if leader in ("", address) or leader not in self.upstreams():
+            return False
+        failure = self.failures.get(leader)
+        return failure is None or failure.until <= now
+
     def is_gone(self, asked_at, now):
         """Return whether an upstream that has not responded is gone.
 
--- a/medlarhollow/distribution/tests/test_upstreams.py
+++ b/medlarhollow/distribution/tests/test_upstreams.py
@@ -1,9 +1,12 @@
 """Order and selection of upstreams."""
 
+from types import SimpleNamespace
+
 import attrs
 import pytest
 
 from medlarhollow.configuration import FleetState
+from medlarhollow.distribution.follower import Follower
 from medlarhollow.distribution.upstreams import is_usable
 from medlarhollow.distribution.upstreams import list_upstreams
 from medlarhollow.distribution.upstreams import next_failure
@@ -188,3 +191,35 @@
         cluster=cluster, freshness_age_s=age_s, failure=failure
     )
     assert is_usable(response, "test") is expected
+
+
+@pytest.mark.parametrize(
+    ("leader", "failed_at", "expected"),
+    [
+        ("", None, False),
+        ("h:1", None, False),
+        ("h:2", None, True),
+        ("h:9", None, True),
+        ("h:2", 99.9, False),
+        ("h:2", 90.0, True),
+    ],
+)
+def test_replica_leaves_another_one_for_the_leader(
+    leader, failed_at, expected
+):
+    """Guards the reports of control VMs against the delay of a chain of
+    replicas, and a replica that cannot reach the leader."""
+    settings = make_settings("control")
+    replica = SimpleNamespace(leader_address=leader)
+    cache = SimpleNamespace(state=STATE)
+    follower = Follower(cache, None, None, None, settings, replica)
+    if failed_at is not None:
+        follower.failures[leader] = next_failure(None, True, failed_at)
+    assert follower.should_follow_leader("h:1", 100.0) is expected
+
+
+def test_entry_vm_does_not_leave_its_upstream_for_the_leader():
+    """Guards against a stream to the leader from every VM."""
+    cache = SimpleNamespace(state=STATE)
+    follower = Follower(cache, None, None, None, make_settings(), None)
+    assert not follower.should_follow_leader("h:1", 100.0)
