Let a request that fails leave those before it on the connection alone

The order may not be sent again.

Cause: Caller.abort reset the whole connection whichever response failed, although nothing of a response has been written while earlier ones are pending. Its class is the failure of one request on a shared connection. The same reset met a running order when the head behind it was malformed, unsupported, too large or slow, when a body behind it was malformed, stalled or above the limit.

Change: a response that has not been written is withdrawn and replaced by 502 with outcome unknown. Other failures of a request end the connection after the responses before it; a bad head is refused after them, and nothing behind it is read. While a response's start has been sent, the connection is reset as before. A head refused for its framing left later requests of its connection unstarted (_defer_start stayed set); that is mended too.

--- a/medlarhollow/daemon/head_limits.py
+++ b/medlarhollow/daemon/head_limits.py
@@ -116,11 +116,11 @@
             super().on_message_complete()
 
     def send_400_response(self, msg):
-        """Refuse a head, or abort if requests are pending."""
-        if self._has_pending_requests():
+        """Refuse a head, or abort the request whose body is malformed."""
+        if self._has_pending_requests() and self._is_in_body():
             # The request may be running, so no outcome stated here would be
             # reliable.
-            self.abort()
+            self._abort_last()
             return
         status, kind = _REFUSALS[self._fault]
         body = json.dumps(
@@ -130,15 +130,14 @@
                 "detail": f"the request head is {self._fault}",
             }
         ).encode()
-        self.transport.write(
+        self._refuse(
             b"HTTP/1.1 %b\r\ncontent-type: application/json\r\n"
             b"x-medlarhollow-outcome: not-run\r\ncontent-length: %d\r\n"
             b"connection: close\r\n\r\n%b" % (status, len(body), body)
         )
-        self._close_refused()
 
-    def _close_refused(self):
-        """Close after the peer has had time to read the response.
+    def end_gracefully(self):
+        """Close after the peer has had time to read the responses.
 
         Closing while received data is unread resets the connection.
         """
@@ -214,6 +213,19 @@
     def _has_pending_requests(self):
         return self.cycle is not None and not self.cycle.response_complete
 
+    def _is_in_body(self):
+        cycle = self.cycle
+        return not self._in_head and cycle is not None and cycle.more_body
+
+    def _abort_last(self):
+        """Abort the request that is being read."""
+        self.abort()
+
+    def _refuse(self, response):
+        """Send the response to a refused head and end the connection."""
+        self.transport.write(response)
+        self.end_gracefully()
+
     def _count_head_bytes(self, size):
         self._parsed_head_bytes += size
         if self._parsed_head_bytes > self._limits.header_limit_bytes:
--- a/medlarhollow/daemon/protocol.py
+++ b/medlarhollow/daemon/protocol.py
@@ -77,14 +77,13 @@
         self._disconnect_timer = None
         self._closed_event = asyncio.Event()
         self._responses = None
+        self._refusal = b""
         self._defer_start = False
 
     def connection_made(self, transport):
         """Prepare the responses and the timeout of idle connections."""
         super().connection_made(transport)
-        self._responses = ResponsePipeline(
-            transport, self.flow, self._parse_received
-        )
+        self._responses = ResponsePipeline(self)
         self.timeout_keep_alive = self._limits.keep_alive_s
 
     def connection_lost(self, exc):
@@ -116,6 +115,8 @@
             self._dropped_bytes += len(data)
             if self._dropped_bytes > _MAX_DROPPED_BYTES:
                 self.flow.pause_reading()
+                if self._disconnect_timer is None:
+                    self._start_disconnect_timer()
             return
         if self.transport.is_closing():
             return
@@ -144,7 +145,6 @@
         if self._is_resuming:
             return
         self.scope["extensions"] = {
-            "medlarhollow.abort": self.abort,
             "medlarhollow.has_left": self.has_left,
             "medlarhollow.is_closed": self.is_closed,
             "medlarhollow.may_close": self.may_close,
@@ -162,8 +162,10 @@
             return
         self._dropped_bytes = 0
         self._defer_start = True
-        super().on_headers_complete()
-        self._defer_start = False
+        try:
+            super().on_headers_complete()
+        finally:
+            self._defer_start = False
         self._add_response()
 
     def on_body(self, body):
@@ -192,9 +194,13 @@
         """
         return sum(response.is_started for response in self._responses) <= 1
 
+    def resume_reading(self):
+        """Continue to read the connection where its limits permit."""
+        self._parse_received()
+
     def _parse_received(self):
         """Parse what was received and read on, both as far as permitted."""
-        if self.transport.is_closing():
+        if self.transport.is_closing() or self._is_refused:
             self._unparsed.clear()
             return
         self._count_held_body()
@@ -246,6 +252,30 @@
     def _has_pending_requests(self):
         return bool(len(self._responses))
 
+    def _abort_last(self):
+        """Abort the last request after the responses to earlier ones."""
+        last = self._responses.last
+        self._stop_reading()
+        if last.is_done:
+            last.close()
+            return
+        last.abort()
+        last.cycle.disconnected = True
+        last.cycle.message_event.set()
+
+    def _refuse(self, response):
+        """Refuse a head after the responses to earlier requests."""
+        if not len(self._responses):
+            super()._refuse(response)
+            return
+        self._refusal = response
+        self._stop_reading()
+
+    def _stop_reading(self):
+        """Take no further requests from the connection."""
+        self._is_refused = True
+        self._stop_head_timer()
+
     def _add_response(self):
         """Queue the response of a request and start it if permitted."""
         cycle = self.cycle
@@ -254,8 +284,10 @@
         cycle.on_response = functools.partial(self._finish_response, response)
         cycle.scope["extensions"].update(
             {
+                "medlarhollow.abort": response.abort,
                 "medlarhollow.mark_forwarded": response.mark_forwarded,
                 "medlarhollow.wait_turn": response.wait_turn,
+                "medlarhollow.withdraw": response.withdraw,
             }
         )
         self._read_ahead.waiting += 1
@@ -266,6 +298,8 @@
         for response in list(self._responses):
             if response.is_started:
                 continue
+            if response.is_aborted:
+                return
             if self._delay_timer is not None or self.flow.write_paused:
                 return
             if not self._responses.is_first(response) and not self._may_start(
@@ -313,7 +347,11 @@
         self._delay_after_refusal(response)
         self._start_waiting()
         self._parse_received()
-        if not len(self._responses):
+        if len(self._responses):
+            return
+        if self._refusal:
+            self._refuse(self._refusal)
+        else:
             self.timeout_keep_alive_task = self.loop.call_later(
                 self.timeout_keep_alive, self.timeout_keep_alive_handler
             )
@@ -351,7 +389,7 @@
             return
         self._dropped_bytes += size
         if self._dropped_bytes > _MAX_DROPPED_BYTES and not self._is_refused:
-            self._close_refused()
+            self.end_gracefully()
 
     def _end_parse_delay(self):
         self._parse_timer = None
--- a/medlarhollow/daemon/response_pipeline.py
+++ b/medlarhollow/daemon/response_pipeline.py
@@ -31,6 +31,7 @@
         self.cycle = cycle
         self.is_started = False
         self.is_done = False
+        self.is_aborted = False
         self.status = 0
         self._is_forwarded = False
 
@@ -72,7 +73,7 @@
 
     def resume_reading(self):
         """Continue to read the connection where its limits permit."""
-        self._pipeline.resume_reading()
+        self._pipeline.connection.resume_reading()
 
     def close(self):
         """Close the connection after this response."""
@@ -81,16 +82,47 @@
         else:
             self._must_close = True
 
+    def withdraw(self):
+        """Take back the response, so that another one can be sent.
+
+        Returns
+        -------
+        bool
+            False if a part of it may have reached the peer.
+        """
+        if self._pipeline.is_first(self):
+            return not self.cycle.response_started
+        self._clear_buffer()
+        self.status = 0
+        self._is_forwarded = False
+        self.cycle.response_started = False
+        self.cycle.chunked_encoding = None
+        self.cycle.expected_content_length = 0
+        return True
+
+    def abort(self):
+        """End the connection instead of this response.
+
+        Earlier responses are sent first; the peer then sees the end of the
+        connection where this response would start.
+        """
+        if self._pipeline.is_first(self):
+            self._pipeline.connection.abort()
+        else:
+            self._clear_buffer()
+            self.is_aborted = True
+
     def is_closing(self):
         """Return whether the connection is closed or closing."""
         return self._pipeline.transport.is_closing()
 
     def flush(self):
         """Write the buffered data after the response has become first."""
-        if self._buffer:
-            data = b"".join(self._buffer)
-            self._buffer.clear()
-            self._pipeline.buffered_bytes -= len(data)
+        if self.is_aborted:
+            self._pipeline.connection.end_gracefully()
+            return
+        data = self._clear_buffer()
+        if data:
             self._pipeline.transport.write(data)
         if self._must_close:
             self._pipeline.transport.close()
@@ -100,24 +132,26 @@
         """End the waits for earlier responses."""
         self._turn.set()
 
+    def _clear_buffer(self):
+        data = b"".join(self._buffer)
+        self._buffer.clear()
+        self._pipeline.buffered_bytes -= len(data)
+        return data
+
 
 class ResponsePipeline:
     """Pending responses of one connection, in the order of the requests.
 
     Parameters
     ----------
-    transport : asyncio.Transport
-        The connection.
-    flow : uvicorn.protocols.http.flow_control.FlowControl
-        Its flow control.
-    resume_reading : callable
-        Continues to read the connection where its limits permit.
+    connection : HttpProtocol
+        The connection, whose transport and flow control are used.
     """
 
-    def __init__(self, transport, flow, resume_reading):
-        self.transport = transport
-        self.flow = flow
-        self.resume_reading = resume_reading
+    def __init__(self, connection):
+        self.connection = connection
+        self.transport = connection.transport
+        self.flow = connection.flow
         self.buffered_bytes = 0
         self._pending = collections.deque()
 
--- a/medlarhollow/entry/caller.py
+++ b/medlarhollow/entry/caller.py
@@ -235,20 +235,36 @@
         self._response_ended = True
         await self._write({"type": "http.response.body", "body": body})
 
+    def withdraw_response(self):
+        """Take back an incomplete response, so that another can be sent.
+
+        Returns
+        -------
+        bool
+            False if a part of it may have reached the caller.
+        """
+        withdraw = self._scope.get("extensions", {}).get(
+            "medlarhollow.withdraw"
+        )
+        return withdraw is not None and withdraw()
+
     async def abort(self):
         """Reset the connection, so that the response is seen as truncated.
 
+        While responses to earlier requests are pending, nothing of this one
+        has been sent; the connection then ends after them.
+
         Raises
         ------
         ConnectionAbortedError
             If the HTTP server does not provide ``medlarhollow.abort``.
         """
-        abort = self._scope.get("extensions", {}).get("medlarhollow.abort")
+        extensions = self._scope.get("extensions", {})
+        abort = extensions.get("medlarhollow.abort")
         if abort is None:
             raise ConnectionAbortedError("the response was truncated")
         abort()
-        while (await self._receive())["type"] != "http.disconnect":
-            pass
+        await extensions["medlarhollow.wait_closed"]()
 
     async def _start(self, status, headers):
         if not self._complete:
--- a/medlarhollow/entry/proxy.py
+++ b/medlarhollow/entry/proxy.py
@@ -108,12 +108,23 @@
         except* BodyTooLargeError:
             outcome = await self._reject_body(caller, progress)
         except* TruncatedResponseError as errors:
-            progress.trace.detail = (
-                f"response truncated: {errors.exceptions[0]}"
+            outcome = await self._end_truncated(
+                caller, errors.exceptions[0], progress
             )
-            await caller.abort()
         return outcome
 
+    async def _end_truncated(self, caller, error, progress):
+        """Replace a truncated response, or abort if its start was sent."""
+        detail = f"response truncated: {error}"
+        if caller.withdraw_response():
+            failure = fail(ErrorKind.OUTCOME_UNKNOWN, detail)
+            return await self._send_failure(
+                caller, failure.err_value, progress
+            )
+        progress.trace.detail = detail
+        await caller.abort()
+        return "cut"
+
     async def _reject_body(self, caller, progress):
         """End a request whose body exceeded the limit while it was read."""
         if progress.sent:
