Acknowledge a leave once other registries have confirmed it

Cause: a registry acknowledged while its proof of authority and its last write to half of the registries were at most 2 s old. On a connection that is cut without notice both hold for 2 s, though nobody is told. Its class is an acknowledgement on the strength of a message sent, not of one received. The same ground let a leave be forgotten when its registry was killed right after the answer, and on the project's own interface a leave was acknowledged at once.

Change: updates between VMs confirm the last one received on the stream, and can ask for a prompt confirmation. With the scope of a data centre the live peers there must confirm.

The test of can_notify is replaced by one that demands confirmations, which is stricter: a write alone no longer counts.

--- a/medlarhollow/daemon/process.py
+++ b/medlarhollow/daemon/process.py
@@ -337,7 +337,7 @@
             drain=self._drain,
             caller_regions=self._caller_regions,
             dialect=self._frontend.dialect,
-            can_notify=self._exchange.can_notify,
+            share_directory=self._exchange.share,
         )
 
     def _make_http_servers(self, client):
--- a/medlarhollow/entry/__init__.py
+++ b/medlarhollow/entry/__init__.py
@@ -6,6 +6,7 @@
 from .caller_app import make_request_app
 from .dialect import Dialect
 from .drain import Drain
+from .registry import confirm_leave
 from .registry import is_ready
 from .registry import list_nearest_vms
 from .registry import register_server
@@ -24,6 +25,7 @@
     "make_announce_app",
     "make_caller_app",
     "make_request_app",
+    "confirm_leave",
     "register_server",
     "unregister_server",
 ]
--- a/medlarhollow/entry/announce.py
+++ b/medlarhollow/entry/announce.py
@@ -13,6 +13,7 @@
 from ..membership import check_announcement
 from ..messages.records import BackendServer
 from ..messages.records import ErrorKind
+from .registry import confirm_leave
 from .responses import make_failure_response
 
 __all__ = ["AnnouncementFilter", "make_announce_app", "parse_announcement"]
@@ -123,12 +124,17 @@
     async def announce(request):
         source = request.client.host if request.client else ""
         body = await _read_body(request)
-        accepted = _accept(body, request.headers, source)
+        now = clock.monotonic()
+        accepted = _accept(body, request.headers, source, now)
         if accepted.is_err():
             return make_failure_response(accepted.err_value)
+        if accepted.ok_value.leaving:
+            confirmed = await confirm_leave(vm, now)
+            if confirmed.is_err():
+                return make_failure_response(confirmed.err_value)
         return JSONResponse({"lease_s": vm.settings.backends.lease_s})
 
-    def _accept(body, headers, source):
+    def _accept(body, headers, source, now):
         parsed = body.and_then(parse_announcement)
         if parsed.is_err():
             return parsed
@@ -142,7 +148,6 @@
         )
         if checked.is_err():
             return checked
-        now = clock.monotonic()
         passed = vm.directory.check_capacity(
             checked.ok_value, source
         ).and_then(lambda server: announcement_filter.check(server, now))
--- a/medlarhollow/entry/registry.py
+++ b/medlarhollow/entry/registry.py
@@ -13,16 +13,13 @@
 from .responses import accepts_callers
 
 __all__ = [
+    "confirm_leave",
     "is_ready",
     "list_nearest_vms",
     "register_server",
     "unregister_server",
 ]
 
-# Freshness age up to which this VM counts as connected: two long polls of half
-# a second on the path to the leader, plus round trips.
-_CONNECTED_AGE_LIMIT_S = 2.0
-
 
 def is_ready(vm, now):
     """Return whether this VM can serve callers.
@@ -92,9 +89,12 @@
         it is free to choose; ``UNAUTHENTICATED`` unless the settings allow
         open announcements; ``BAD_REQUEST`` or ``CONFLICT`` if the
         announcement is invalid or contradicts the known state;
-        ``STALE_AUTHORITY`` if this VM may be unable to notify all entry VMs
-        that the server leaves, which it then knows itself; ``OVERLOADED`` if
-        too many are known.
+        ``OVERLOADED`` if too many are known.
+
+    Notes
+    -----
+    That a server leaves must not be acknowledged before
+    :func:`confirm_leave`.
     """
     if not vm.settings.backends.open_announcements:
         return fail(ErrorKind.UNAUTHENTICATED, "a credential is required")
@@ -113,19 +113,18 @@
     accepted = apply_announcement(vm.directory, server, now, source)
     if accepted.is_err():
         return accepted
-    if server.leaving and not _is_connected(vm, now):
-        # The entry VMs that this one still reaches stop using the server.
-        return _fail_disconnected()
     return Ok(_choose_registry(vm, server.data_centre))
 
 
 def unregister_server(vm, server_id, now):
     """Mark a backend server as leaving at its own request.
 
+    This must not be acknowledged before :func:`confirm_leave`.
+
     Parameters
     ----------
     vm : EntryVm
-        Provides the directory.
+        Components of this VM.
     server_id : str
         Identifier of the server.
     now : float
@@ -134,11 +133,9 @@
     Returns
     -------
     result.Result
-        ``Ok(None)``; ``STALE_AUTHORITY`` if this VM may be unable to notify
-        the entry VMs, or does not know the server although others may.
+        ``Ok(None)``; ``STALE_AUTHORITY`` if this VM does not know the server
+        although others may.
     """
-    if not _is_connected(vm, now):
-        return _fail_disconnected()
     if not vm.directory.mark_leaving(server_id, now):
         return fail(
             ErrorKind.STALE_AUTHORITY, f"'{server_id}' is not registered here"
@@ -146,16 +143,27 @@
     return Ok(None)
 
 
-def _is_connected(vm, now):
-    return vm.state_cache.freshness_age_s(
-        now
-    ) <= _CONNECTED_AGE_LIMIT_S and vm.can_notify(now)
+async def confirm_leave(vm, now):
+    """Wait until other VMs know the leaving servers that this one knows.
 
+    Parameters
+    ----------
+    vm : EntryVm
+        Components of this VM.
+    now : float
+        Monotonic time in seconds.
 
-def _fail_disconnected():
+    Returns
+    -------
+    result.Result
+        ``Ok(None)``; ``STALE_AUTHORITY`` if too few of them confirm it in
+        time. Those that know it send nothing more to these servers.
+    """
+    if await vm.share_directory(now):
+        return Ok(None)
     return fail(
         ErrorKind.STALE_AUTHORITY,
-        "this VM is isolated from the control replicas or registries",
+        "too few other VMs confirmed that the server leaves",
     )
 
 
--- a/medlarhollow/entry/tests/test_announce.py
+++ b/medlarhollow/entry/tests/test_announce.py
@@ -119,7 +119,24 @@
 async def test_announce_endpoint(credential, body, status):
     """Guards the directory: it gets only valid announcements, and "leaving"
     without delay."""
+    assert len(await send(credential, body, status)) == (status == 200)
+
+
+async def test_leave_that_no_other_vm_confirms_is_not_acknowledged():
+    """Guards against requests to a server that was told it may leave."""
+    body = json.dumps(VALID_FIELDS | {"leaving": True})
+    [server] = await send("Bearer secret", body, 503, is_shared=False)
+    assert server.leaving
+    await send("Bearer secret", json.dumps(VALID_FIELDS), 200, is_shared=False)
+
+
+async def send(credential, body, status, is_shared=True):
+    """Send an announcement; return what the directory got."""
     announced = []
+
+    async def share(now):
+        return is_shared
+
     state_cache = FakeStateCache()
     digest = hashlib.sha256(b"secret").digest()
     state_cache.state.services["plots"] = Service("plots", digest, "1")
@@ -130,6 +147,7 @@
             announce=lambda server, now, source: announced.append(server),
             check_capacity=lambda server, source: Ok(server),
         ),
+        share_directory=share,
     )
     address = free_addresses(1)[0]
     server = HttpServer(make_announce_app(vm), address, 1.0)
@@ -149,4 +167,4 @@
             assert response.headers["x-medlarhollow-outcome"] == "not-run"
     stop.set()
     await server_task
-    assert len(announced) == (status == 200)
+    return announced
--- a/medlarhollow/entry/vm.py
+++ b/medlarhollow/entry/vm.py
@@ -22,6 +22,10 @@
 __all__ = ["EntryVm"]
 
 
+async def _share_with_nobody(now):
+    return True
+
+
 @attrs.define
 class EntryVm:
     """Hold the components that the tasks of an entry VM share.
@@ -60,9 +64,10 @@
         Names of the headers.
     request_log : RequestLog
         Log of completed requests.
-    can_notify : callable
-        Returns whether this VM can notify the others of a leaving server,
-        given the monotonic time.
+    share_directory : callable
+        Coroutine function that waits until other VMs know the servers that
+        are known now, given the monotonic time, and returns whether enough
+        of them confirmed it.
     queued : int
         Requests that wait for a token or a slot.
     """
@@ -101,7 +106,7 @@
             takes_self=True,
         )
     )
-    can_notify: object = lambda now: True
+    share_directory: object = _share_with_nobody
     queued: int = 0
 
     async def wait_in_queue(self, acquisition):
--- a/medlarhollow/membership/exchange.py
+++ b/medlarhollow/membership/exchange.py
@@ -8,7 +8,9 @@
 from grpclib.exceptions import StreamTerminatedError
 
 from .. import clock
+from ..messages.records import VmState
 from ..messages.services import FleetStub
+from .confirmation import ConfirmationTracker
 from .registries import RegistrySelector
 from .updates import Audience
 from .updates import OutgoingUpdates
@@ -95,10 +97,9 @@
         self._registries = RegistrySelector(settings)
         self._wake_events = set()
         self._follower_wake_events = set()
+        self._confirmations = ConfirmationTracker()
         self._incoming = {}
         self._names_by_address = {}
-        # Monotonic time of the last message to each registry, by name.
-        self._sent_at = {}
         self._dropped_records = 0
         directory.subscribe(self.wake)
         directory.subscribe_relayed(self._wake_followers)
@@ -112,8 +113,11 @@
         """Number of records that were left out, since they had no encoding."""
         return self._dropped_records
 
-    def can_notify(self, now):
-        """Return whether this VM can notify a majority of the registries.
+    async def share(self, now):
+        """Wait until other VMs know what the directory contains now.
+
+        These are the registries, of which a majority suffices if the others
+        are late, or the live peers of the data centre.
 
         Parameters
         ----------
@@ -123,21 +127,25 @@
         Returns
         -------
         bool
-            Also True if it is the only registry.
+            Whether enough have confirmed it in time; True if there are none.
         """
-        if not self._is_fleet_wide:
-            return True
         local_name = self._settings.vm.name
-        others = [
-            vm.name
-            for vm in self._state_cache.state.vms.values()
-            if vm.announce_address and vm.name != local_name
-        ]
-        oldest = now - self._settings.peer.silence_timeout_s
-        notified = sum(
-            self._sent_at.get(name, float("-inf")) >= oldest for name in others
-        )
-        return 2 * notified >= len(others)
+        if self._is_fleet_wide:
+            names = frozenset(
+                vm.name
+                for vm in self._state_cache.state.vms.values()
+                if vm.announce_address
+                and vm.name != local_name
+                and vm.state is not VmState.GONE
+            )
+            # With this VM, more than half of them.
+            needed = (len(names) + 1) // 2
+        else:
+            names = frozenset(self._directory.peers.live(now))
+            needed = len(names)
+        if not names:
+            return True
+        return await self._confirmations.wait(names, needed)
 
     def wake(self):
         """Send pending changes on every stream before its next interval."""
@@ -238,13 +246,14 @@
 
         Raises TimeoutError if nothing is received for the silence timeout.
         """
-        wake_event = asyncio.Event()
+        progress = self._confirmations.open()
+        wake_event = progress.wake_event
         peer = asyncio.get_running_loop().create_future()
         if not incoming:
             peer.set_result(self._find_by_address(address))
-        sender = asyncio.create_task(self._send(stream, wake_event, peer))
+        sender = asyncio.create_task(self._send(stream, progress, peer))
         receiver = asyncio.create_task(
-            self._receive(stream, address, incoming, peer)
+            self._receive(stream, address, incoming, peer, progress)
         )
         try:
             done, _ = await asyncio.wait(
@@ -253,19 +262,21 @@
             for task in done:
                 task.result()
         finally:
+            self._confirmations.close(progress)
             self._wake_events.discard(wake_event)
             self._follower_wake_events.discard(wake_event)
             for task in (sender, receiver):
                 task.cancel()
             await asyncio.gather(sender, receiver, return_exceptions=True)
 
-    async def _send(self, stream, wake_event, peer):
+    async def _send(self, stream, progress, peer):
         # What is sent depends on the peer, which names itself first on a
         # stream that it opened.
         vm = await peer
         audience = self._audience_of(vm)
         updates = OutgoingUpdates(audience)
         routes_requests = vm is None or bool(vm.caller_address)
+        wake_event = progress.wake_event
         self._wake_events.add(wake_event)
         if audience is Audience.FOLLOWER:
             self._follower_wake_events.add(wake_event)
@@ -279,16 +290,22 @@
             update = updates.next_update(
                 self._local_vm(), self._directory, load, now
             )
+            update = attrs.evolve(
+                update,
+                confirmed=progress.received,
+                wants_confirmation=self._confirmations.is_waiting,
+            )
+            progress.sent = update.sequence
+            progress.is_reply_due = False
             async with asyncio.timeout(silence_s):
                 await self._send_encodable(stream, update)
-            if audience is Audience.REGISTRY:
-                self._sent_at[vm.name] = clock.monotonic()
             try:
                 async with asyncio.timeout(_INTERVAL_S):
                     await wake_event.wait()
             except TimeoutError:
                 continue
-            await asyncio.sleep(_BATCH_DELAY_S)
+            if not progress.is_reply_due:
+                await asyncio.sleep(_BATCH_DELAY_S)
 
     async def _send_encodable(self, stream, update):
         """Send a message, without the records that have no encoding."""
@@ -306,7 +323,7 @@
             )
             await stream.send_message(update)
 
-    async def _receive(self, stream, address, incoming, peer):
+    async def _receive(self, stream, address, incoming, peer, progress):
         silence_s = self._settings.peer.silence_timeout_s
         last_sequence = 0
         name = ""
@@ -337,6 +354,7 @@
                 if not peer.done():
                     peer.set_result(vm)
                 self._directory.merge(update, clock.monotonic())
+                self._confirmations.record(progress, update)
                 if incoming:
                     self._incoming[name] = token
                     continue
--- a/medlarhollow/membership/tests/test_registries.py
+++ b/medlarhollow/membership/tests/test_registries.py
@@ -16,6 +16,7 @@
 from medlarhollow.membership import LocalLoad
 from medlarhollow.membership.updates import Audience
 from medlarhollow.membership.updates import OutgoingUpdates
+from medlarhollow.messages.records import ExchangeUpdate
 from medlarhollow.messages.records import Vm
 from medlarhollow.messages.records import VmState
 
@@ -403,15 +404,87 @@
         assert entry.usable() == ["s1"]
 
 
-@pytest.mark.parametrize(
-    ("notified", "can_notify"),
-    [((), False), (("r2",), True), (("r2", "r3"), True)],
-)
-def test_registry_that_notifies_no_majority_acknowledges_nobody(
-    tmp_path, notified, can_notify
+@pytest.fixture
+async def registries(tmp_path):
+    """Three registries; the first reaches the others through relays."""
+    addresses = dict(zip(NAMES, free_addresses(len(NAMES)), strict=True))
+    relays = {
+        name: test_exchange.TcpRelay(addresses[name]) for name in NAMES[1:]
+    }
+    state = make_state(
+        vms=[
+            (
+                name,
+                "north",
+                "north-a",
+                await relays[name].start() if name in relays else address,
+            )
+            for name, address in addresses.items()
+        ]
+    )
+    for name in NAMES:
+        state.vms[name] = attrs.evolve(
+            state.vms[name], caller_address="", announce_address="h:1"
+        )
+    members = [
+        test_exchange.Member(
+            tmp_path, name, addresses[name], state, backends__scope="fleet"
+        )
+        for name in NAMES
+    ]
+    for member in members:
+        await member.start()
+    first = members[0]
+    await test_exchange.eventually(lambda: first.has_live_peers("r2", "r3"))
+    # By then only one stream of each pair remains.
+    await asyncio.sleep(1.5)
+    yield members, relays
+    for member in members:
+        await member.stop()
+
+
+async def share_leave(member):
+    member.announce(started_at_ms=1, sequence=1)
+    member.announce(started_at_ms=1, sequence=2, leaving=True)
+    # Backend servers wait a second for an acknowledgement.
+    async with asyncio.timeout(1.0):
+        return await member.exchange.share(clock.monotonic())
+
+
+def silence(relay):
+    relay.silent = set(range(1, 100))
+
+
+async def test_leave_is_confirmed_once_the_other_registries_know_it(
+    registries,
 ):
+    """Guards against a leave that is forgotten when its registry ends right
+    after the acknowledgement."""
+    (first, *others), _ = registries
+    assert await share_leave(first)
+    for other in others:
+        assert other.directory.find("s1").leaving
+
+
+async def test_leave_is_confirmed_while_one_registry_is_silent(registries):
+    (first, second, _), relays = registries
+    silence(relays["r3"])
+    assert await share_leave(first)
+    assert second.directory.find("s1").leaving
+
+
+async def test_registry_that_was_just_cut_off_confirms_no_leave(registries):
     """Guards against requests to a server that was told it may leave by a
-    registry whose streams all fail."""
+    registry that can tell nobody and does not know it yet."""
+    (first, *others), relays = registries
+    for relay in relays.values():
+        silence(relay)
+    assert not await share_leave(first)
+    for other in others:
+        assert other.directory.find("s1") is None
+
+
+def make_registry(folder):
     state = make_state(
         vms=[(name, "north", "north-a", f"{name}:1") for name in NAMES]
     )
@@ -421,19 +494,47 @@
         )
     settings = make_settings(
         "r1",
-        tmp_path,
+        folder,
         vm__roles="entry, registry",
         backends__scope="fleet",
         peer__silence_timeout_s="2.0",
     )
-    exchange = Exchange(
+    return Exchange(
         settings,
         FakeStateCache(state),
         Directory(settings),
         None,
         lambda: state.vms["r1"],
     )
-    for name in notified:
-        exchange._sent_at[name] = 100.0
-    assert exchange.can_notify(101.9) == can_notify
-    assert not exchange.can_notify(102.1)
+
+
+@pytest.mark.parametrize(
+    ("confirming", "is_shared"),
+    [((), False), (("r2",), True), (("r2", "r3"), True)],
+)
+async def test_registry_that_notifies_no_majority_acknowledges_nobody(
+    tmp_path, confirming, is_shared
+):
+    """Guards against requests to a server that was told it may leave by a
+    registry whose streams all fail."""
+    exchange = make_registry(tmp_path)
+    tracker = exchange._confirmations
+    streams = {name: tracker.open() for name in NAMES[1:]}
+    for name, stream in streams.items():
+        stream.sent = 4
+        tracker.record(stream, confirm(name, 1, 4))
+    sharing = asyncio.create_task(exchange.share(100.0))
+    await asyncio.sleep(0.01)
+    for name in NAMES[1:]:
+        # A confirmation of an earlier update says nothing of this one.
+        tracker.record(streams[name], confirm(name, 2, 4))
+    assert not sharing.done()
+    for name in confirming:
+        tracker.record(streams[name], confirm(name, 3, 5))
+    assert await sharing == is_shared
+
+
+def confirm(name, sequence, confirmed):
+    return ExchangeUpdate(
+        vm=Vm(name=name), sequence=sequence, confirmed=confirmed
+    )
--- a/medlarhollow/membership/tests/test_registry.py
+++ b/medlarhollow/membership/tests/test_registry.py
@@ -5,6 +5,7 @@
 import attrs
 import pytest
 
+from medlarhollow.entry.registry import confirm_leave
 from medlarhollow.entry.registry import register_server
 from medlarhollow.limits.tests.support import FakeStateCache
 from medlarhollow.limits.tests.support import make_settings
@@ -155,8 +156,10 @@
     assert result.err_value.kind is ErrorKind.BAD_REQUEST
 
 
-@pytest.mark.parametrize("can_notify", [False, True])
-def test_registry_of_a_cut_data_centre_lets_its_servers_leave(can_notify):
+@pytest.mark.parametrize("is_shared", [False, True])
+async def test_registry_of_a_cut_data_centre_lets_its_servers_leave(
+    is_shared,
+):
     """Guards servers that leave in a data centre that is cut off: without an
     acknowledgement they must not receive requests of the VMs there either."""
     settings = make_settings(
@@ -166,13 +169,20 @@
         settings=settings,
         directory=Directory(settings),
         state_cache=FakeStateCache(make_state()),
-        can_notify=lambda now: can_notify,
     )
+
+    async def share(now):
+        # What is confirmed must contain the leave.
+        assert vm.directory.find("s1").leaving
+        return is_shared
+
+    vm.share_directory = share
     vm.state_cache.proof_at = 0.0
     assert register_server(vm, SERVER, 0.0).is_ok()
     leaving = attrs.evolve(SERVER, sequence=5, leaving=True)
-    result = register_server(vm, leaving, 1.0)
-    assert result.is_ok() == can_notify
-    if not can_notify:
+    assert register_server(vm, leaving, 1.0).is_ok()
+    result = await confirm_leave(vm, 1.0)
+    assert result.is_ok() == is_shared
+    if not is_shared:
         assert result.err_value.kind is ErrorKind.STALE_AUTHORITY
     assert names(vm.directory, 1.0) == []
--- a/medlarhollow/messages/records.py
+++ b/medlarhollow/messages/records.py
@@ -1031,6 +1031,8 @@
     relayed_ages_ms: "tuple[int, ...]" = ()
     followers: "tuple[Vm, ...]" = ()
     lost_followers: "tuple[str, ...]" = ()
+    confirmed: int = 0
+    wants_confirmation: bool = False
 
 
 @attrs.frozen
