Leave an upstream that no longer renews its proof of authority

Cause: a VM stayed with its upstream until the proof there was older than 2.0 s; the upstream then held one more request for 0.5 s, and the search asked the addresses of the settings first, of which three were gone. Together up to 3.3 s, where a change has 2.5 s. Its class is a limit that is spent whole by the first of several waits in a row.

Change: a proof that does not advance is noticed at 1.0 s (1.6 s behind another VM of the data centre), and up to three other upstreams are asked while the stream goes on; one with a fresher proof replaces it. Replicas of the roster are asked before addresses that only the settings name.

--- a/medlarhollow/distribution/follow.py
+++ b/medlarhollow/distribution/follow.py
@@ -6,6 +6,7 @@
 from .. import clock
 from ..messages.records import SyncRequest
 from .follower import Follower
+from .search import find_fresher
 from .search import find_preferred
 from .search import find_session
 from .serve import build_sync_response
@@ -89,6 +90,7 @@
 async def _follow_session(follower, session):
     """Follow a session; return the one that replaces it, or None."""
     preferred = asyncio.create_task(find_preferred(follower, session.address))
+    aged = asyncio.create_task(session.aged.wait())
     try:
         while not session.task.done():
             now = clock.monotonic()
@@ -98,7 +100,17 @@
                 if replacement is not None:
                     return replacement
                 continue
-            await asyncio.wait({session.task}, timeout=late_in_s)
+            await asyncio.wait(
+                {session.task, aged},
+                timeout=late_in_s,
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            if aged.done() and not session.task.done():
+                replacement = await _replace_aging(follower, session)
+                if replacement is not None:
+                    return replacement
+                session.aged.clear()
+                aged = asyncio.create_task(session.aged.wait())
             if preferred.done():
                 preferred.result()
                 session.is_superseded = True
@@ -110,9 +122,10 @@
             session.task.result()
         return None
     finally:
-        preferred.cancel()
-        session.task.cancel()
-        await asyncio.gather(preferred, session.task, return_exceptions=True)
+        tasks = (preferred, aged, session.task)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
 
 
 async def _replace_late(follower, session):
@@ -151,3 +164,15 @@
         responded.cancel()
         search.cancel()
         await asyncio.gather(search, responded, return_exceptions=True)
+
+
+async def _replace_aging(follower, session):
+    """Return a session that renews its proof, unlike this one, or None."""
+    replacement = await find_fresher(follower, session.address)
+    if replacement is not None:
+        _LOG.info(
+            "sync: upstream %s does not renew its proof of authority",
+            session.address,
+        )
+        follower.record_failure(session.address, clock.monotonic())
+    return replacement
--- a/medlarhollow/distribution/follower.py
+++ b/medlarhollow/distribution/follower.py
@@ -5,6 +5,8 @@
 import attrs
 
 from .serve import MAX_HOLD_S
+from .upstreams import AGING_PROOF_S
+from .upstreams import AGING_RELAYED_PROOF_S
 from .upstreams import list_upstreams
 from .upstreams import next_failure
 from .upstreams import STALE_PROOF_S
@@ -118,6 +120,20 @@
         failure = self.failures.get(leader)
         return failure is None or failure.until <= now
 
+    def is_aging(self, address, proof_age_s):
+        """Return whether an upstream no longer renews its proof.
+
+        Parameters
+        ----------
+        address : str
+            Of the upstream.
+        proof_age_s : float
+            Age of its proof in seconds when it responded.
+        """
+        if self._is_replica(address):
+            return proof_age_s > AGING_PROOF_S
+        return proof_age_s > AGING_RELAYED_PROOF_S
+
     def is_gone(self, asked_at, now):
         """Return whether an upstream that has not responded is gone.
 
--- a/medlarhollow/distribution/search.py
+++ b/medlarhollow/distribution/search.py
@@ -11,7 +11,7 @@
 from .upstreams import order_upstreams
 from .upstreams import RETRY_FAILED_S
 
-__all__ = ["find_preferred", "find_session"]
+__all__ = ["find_fresher", "find_preferred", "find_session"]
 
 # Time for a response before further upstreams are asked as well: a connection
 # and a request between regions take two round trips of 40 ms.
@@ -19,6 +19,9 @@
 # Bounds the messages of all VMs while no control replica has a proof.
 _MAX_CONCURRENT = 8
 _MAX_TRIED = 16
+# Upstreams that a VM asks while its own still has a valid proof; in an
+# election none of them has a fresher one.
+_MAX_FRESHER_TRIED = 3
 
 
 async def find_session(follower, excluded=None):
@@ -42,12 +45,39 @@
     The preferred upstream is asked first. The state cache is updated with
     every response, also with those of upstreams that are not selected.
     """
+    return await _ask(follower, excluded, _MAX_TRIED, Session)
+
+
+async def find_fresher(follower, address):
+    """Ask a few upstreams for a proof that the current one does not have.
+
+    Parameters
+    ----------
+    follower : Follower
+        Context of the sessions.
+    address : str
+        Of the upstream that is followed, which goes on meanwhile.
+
+    Returns
+    -------
+    Session or None
+        A running session, or None if none of them renews its proof.
+    """
+    return await _ask(
+        follower,
+        address,
+        _MAX_FRESHER_TRIED,
+        functools.partial(Session, must_be_fresher=True),
+    )
+
+
+async def _ask(follower, excluded, count, make_session):
     now = clock.monotonic()
     ordered = order_upstreams(follower.upstreams(), follower.failures, now)
     addresses = [address for address in ordered if address != excluded]
     return await first_result(
-        functools.partial(_try_upstream, follower),
-        addresses[:_MAX_TRIED],
+        lambda address: _try_upstream(follower, make_session(address)),
+        addresses[:count],
         _STAGGER_S,
         _MAX_CONCURRENT,
         discard=lambda session: session.task.cancel(),
@@ -80,9 +110,8 @@
                 return
 
 
-async def _try_upstream(follower, address):
+async def _try_upstream(follower, session):
     """Return a session with an upstream once it is usable, or None."""
-    session = Session(address)
     session.task = asyncio.create_task(run_session(follower, session))
     asked_at = clock.monotonic()
     try:
--- a/medlarhollow/distribution/session.py
+++ b/medlarhollow/distribution/session.py
@@ -34,8 +34,12 @@
         Monotonic time in seconds of the request that waits for a response.
     responded : asyncio.Event
         Set at each response.
+    aged : asyncio.Event
+        Set at a response with a proof that no longer advances.
     is_superseded : bool
         Whether the stream ends after its next response.
+    must_be_fresher : bool
+        Whether such an upstream is not usable.
     """
 
     address: str
@@ -45,7 +49,9 @@
     task: object = None
     requested_at: float = float("inf")
     responded: asyncio.Event = attrs.field(factory=asyncio.Event)
+    aged: asyncio.Event = attrs.field(factory=asyncio.Event)
     is_superseded: bool = False
+    must_be_fresher: bool = False
 
 
 async def run_session(follower, session):
@@ -149,6 +155,11 @@
         raise StreamTerminatedError(result.err_value.detail)
     if not is_usable(response, follower.settings.vm.cluster):
         raise StreamTerminatedError("upstream has no fresh proof of authority")
+    if follower.is_aging(session.address, response.freshness_age_s):
+        if session.must_be_fresher:
+            raise StreamTerminatedError("upstream does not renew its proof")
+        session.aged.set()
+    session.must_be_fresher = False
     follower.record_response(session.address, clock.monotonic() - now)
     if not session.usable.done():
         session.usable.set_result(True)
--- a/medlarhollow/distribution/upstreams.py
+++ b/medlarhollow/distribution/upstreams.py
@@ -5,6 +5,8 @@
 from ..messages.records import VmState
 
 __all__ = [
+    "AGING_PROOF_S",
+    "AGING_RELAYED_PROOF_S",
     "UpstreamFailure",
     "is_usable",
     "list_upstreams",
@@ -15,6 +17,12 @@
 # With a hold of 0.5 s at each of three chained upstreams, a proof is at most
 # 1.7 s old; an older one means that the chain is broken.
 STALE_PROOF_S = 2.0
+# A control replica follows the leader with a hold of 0.5 s; the leader renews
+# its proof with each heartbeat. A proof that is older than this does not
+# advance, though it is still valid.
+AGING_PROOF_S = 1.0
+# The same for a VM that follows a replica, with one more hold.
+AGING_RELAYED_PROOF_S = 1.6
 # VMs of the same data centre that are tried before the control replicas. When
 # their common upstream is lost, they all lack a proof, and each of them holds
 # a request for half a second before its response shows that.
@@ -60,8 +68,9 @@
     list of str
         First the VMs of this data centre that rank before this one, so that
         only one of them connects outside it; then the control replicas of the
-        settings and those of the roster, which may have replaced them; then
-        the remaining VMs of this and other data centres.
+        roster, those of the settings first; then others of the settings,
+        which may have been replaced; then the remaining VMs of this and other
+        data centres.
 
     Notes
     -----
@@ -75,9 +84,13 @@
         for vm in state.vms.values()
         if vm.control and vm.state is not VmState.GONE
     )
+    replicas = [
+        address for address in settings.control.replicas if address in controls
+    ]
+    replicas += [*controls, *settings.control.replicas]
     if "control" in local.roles:
         # Among replicas that follow one another, proofs would only age.
-        ordered = [leader, *settings.control.replicas, *controls]
+        ordered = [leader, *replicas]
         return _without(ordered, local_address)
     siblings = sorted(
         (vm.name, vm.peer_address)
@@ -94,8 +107,7 @@
     addresses = [address for _, address in siblings]
     ordered = [
         *addresses[:_MAX_PREFERRED_SIBLINGS],
-        *settings.control.replicas,
-        *controls,
+        *replicas,
         *addresses[_MAX_PREFERRED_SIBLINGS:],
         *settings.peer.data_centre_peers,
         *settings.peer.remote_peers,
