Let successors of allocators issue tokens once all VMs have confirmed them

Cause: a successor was appointed only when the lost VM had left the roster (3.8 s, 5.8 s after an election). It then waited until the leases of its predecessor had ended, although nobody could spend that one's tokens. After a loss of all power the office moved to the first VM by name, though its holder was back. The class is a wait for the worst case where a confirmation would end it.

Change: a VM discards tokens of replaced allocators before it reports a revision. When all entry VMs have reported the one that appointed a successor, control confirms it, and it issues at once. Entry VMs that left the roster delay this until the leases are over, since they may be cut off together with the predecessor. A silent allocator is replaced by a VM that reports before it leaves the roster, and the office stays with its VM over restarts.

--- a/medlarhollow/configuration/roster.py
+++ b/medlarhollow/configuration/roster.py
@@ -16,8 +16,15 @@
     if change.vm is None or not change.vm.name:
         return fail(ErrorKind.BAD_REQUEST, "a VM needs a name")
     state.roster_changes += 1
-    if change.vm.state is VmState.GONE:
-        state.vms.pop(change.vm.name, None)
-    else:
-        state.vms[change.vm.name] = change.vm
+    name = change.vm.name
+    if change.vm.state is not VmState.GONE:
+        state.vms[name] = change.vm
+        state.departed_vms.discard(name)
+        return Ok(None)
+    removed = state.vms.pop(name, None)
+    if removed is None:
+        # Control removes a VM once more when it cannot run any longer.
+        state.departed_vms.discard(name)
+    elif removed.caller_address:
+        state.departed_vms.add(name)
     return Ok(None)
--- a/medlarhollow/configuration/shares.py
+++ b/medlarhollow/configuration/shares.py
@@ -161,7 +161,9 @@
     current = state.allocators.get(allocator.data_centre)
     if current is not None and _same_process(current, allocator):
         updated = attrs.evolve(
-            current, started=current.started or allocator.started
+            current,
+            started=current.started or allocator.started,
+            is_confirmed=current.is_confirmed or allocator.is_confirmed,
         )
     else:
         updated = attrs.evolve(
@@ -170,6 +172,7 @@
             has_predecessor=current is not None,
             predecessor_may_run=_predecessor_may_run(current, allocator),
             started=False,
+            is_confirmed=False,
         )
     state.allocators[allocator.data_centre] = updated
     return Ok(None)
--- a/medlarhollow/configuration/state.py
+++ b/medlarhollow/configuration/state.py
@@ -43,6 +43,9 @@
         Accounts that ever had a burst that is divided over data centres. None
         is removed, since a partitioned VM may still use an older version of
         the account.
+    departed_vms : set of str
+        Entry VMs that left the roster and may still run, partitioned from
+        control, until control removes them once more.
     shift : Shift or None
         The active preset and the progress of the shift to it.
     configuration_version : int
@@ -71,6 +74,7 @@
     blocks_revision: int = 0
     longest_stale_keys_s: float = 0.0
     divided_accounts: set = attrs.field(factory=set)
+    departed_vms: set = attrs.field(factory=set)
     accounts: dict = attrs.field(factory=dict)
     keys: dict = attrs.field(factory=dict)
     services: dict = attrs.field(factory=dict)
@@ -111,6 +115,7 @@
             blocks_revision=self.blocks_revision,
             longest_stale_keys_s=self.longest_stale_keys_s,
             divided_accounts=tuple(sorted(self.divided_accounts)),
+            departed_vms=tuple(sorted(self.departed_vms)),
             shift=self.shift,
             configuration_version=self.configuration_version,
             document=self.document,
@@ -143,6 +148,7 @@
             blocks_revision=snapshot.blocks_revision,
             longest_stale_keys_s=snapshot.longest_stale_keys_s,
             divided_accounts=set(snapshot.divided_accounts),
+            departed_vms=set(snapshot.departed_vms),
             shift=snapshot.shift,
             configuration_version=snapshot.configuration_version,
             document=snapshot.document,
--- a/medlarhollow/control/allocators.py
+++ b/medlarhollow/control/allocators.py
@@ -28,48 +28,91 @@
     Returns
     -------
     list of SetAllocator
-        One for each allocator that has started to grant tokens, and one
-        for each data centre that has a serving entry VM but no usable
-        allocator: none is appointed, its lease has certainly expired, or it
-        was an earlier process of the selected VM, which has ended.
-        Registries are preferred to entry VMs, since entry VMs are stopped
-        and replaced more often.
+        One for each allocator that has started to grant tokens, or whose
+        predecessor's tokens nobody can spend any more, and one for each data
+        centre that has a serving VM but no usable allocator: none is
+        appointed, its lease has certainly expired, or it was an earlier
+        process of its VM, which has ended. Registries are preferred to entry
+        VMs, since entry VMs are stopped and replaced more often.
     """
-    selected = _select_allocators(state)
-    started = [
-        SetAllocator(attrs.evolve(allocator, started=True))
-        for allocator in state.allocators.values()
-        if not allocator.started and leases.share_epoch(allocator) > 0
+    changes = [
+        SetAllocator(allocator)
+        for allocator in _list_updated(state, leases, now)
     ]
-    return started + [
-        SetAllocator(Allocator(data_centre, vm.name, vm.incarnation))
-        for data_centre, vm in selected.items()
-        if _needs_appointment(
-            state.allocators.get(data_centre), vm, leases, now
-        )
-        and (
-            registries_known
-            or vm.announce_address
-            or data_centre in state.allocators
+    for data_centre, vm in _select_allocators(state, leases, now).items():
+        allocator = state.allocators.get(data_centre)
+        if not _needs_appointment(allocator, vm, leases, now):
+            continue
+        if registries_known or vm.announce_address or allocator is not None:
+            changes.append(
+                SetAllocator(Allocator(data_centre, vm.name, vm.incarnation))
+            )
+    return changes
+
+
+def _list_updated(state, leases, now):
+    """Return the allocators that have started or may start."""
+    updated = []
+    for allocator in state.allocators.values():
+        if allocator.started:
+            continue
+        change = attrs.evolve(
+            allocator,
+            started=leases.share_epoch(allocator) > 0,
+            is_confirmed=allocator.is_confirmed
+            or (
+                allocator.has_predecessor
+                and leases.have_all_applied(allocator.epoch, state, now)
+            ),
         )
-    ]
+        if change != allocator:
+            updated.append(change)
+    return updated
 
 
-def _select_allocators(state):
+def _select_allocators(state, leases, now):
     """Select the VM that should be the allocator of each data centre."""
-    serving = [
-        state.vms[name]
-        for name in sorted(state.vms)
-        if state.vms[name].state is VmState.SERVING
-    ]
-    data_centres = {vm.data_centre for vm in serving if vm.caller_address}
-    selected = {}
-    for vm in sorted(serving, key=lambda vm: not vm.announce_address):
-        if vm.data_centre in data_centres and (
+    candidates = {}
+    for name in sorted(state.vms):
+        vm = state.vms[name]
+        if vm.state is VmState.SERVING and (
             vm.caller_address or vm.announce_address
         ):
-            selected.setdefault(vm.data_centre, vm)
-    return selected
+            candidates.setdefault(vm.data_centre, []).append(vm)
+    return {
+        data_centre: _select_allocator(
+            state.allocators.get(data_centre), vms, leases, now
+        )
+        for data_centre, vms in candidates.items()
+        if any(vm.caller_address for vm in vms)
+    }
+
+
+def _select_allocator(allocator, vms, leases, now):
+    """Select one of the serving VMs of a data centre.
+
+    The VM that is the allocator remains it while it reports, and after a
+    restart, since another one would have to wait for its lease. It may be
+    silent before it leaves the roster.
+    """
+    incumbent = None
+    if allocator is not None:
+        incumbent = next((vm for vm in vms if vm.name == allocator.vm), None)
+    if incumbent is not None and (
+        incumbent.incarnation != allocator.incarnation
+        or not leases.has_expired(allocator, now)
+    ):
+        return incumbent
+    ranked = sorted(
+        vms,
+        key=lambda vm: (
+            not leases.is_reporting(vm, now),
+            not vm.announce_address,
+        ),
+    )
+    if incumbent is not None and not leases.is_reporting(ranked[0], now):
+        return incumbent
+    return ranked[0]
 
 
 def _needs_appointment(allocator, vm, leases, now):
--- a/medlarhollow/control/leader_tasks.py
+++ b/medlarhollow/control/leader_tasks.py
@@ -10,6 +10,8 @@
 from ..messages.records import Change
 from ..messages.records import ErrorKind
 from ..messages.records import SetVm
+from ..messages.records import Vm
+from ..messages.records import VmState
 from .allocators import plan_allocators
 from .demand import DemandEstimator
 from .leases import LeaseMonitor
@@ -199,6 +201,10 @@
         changes += [
             change.body for change in plan_roster(state, reports, complete)
         ]
+        changes += [
+            SetVm(Vm(name, state=VmState.GONE))
+            for name in self._leases.list_ended(state, now)
+        ]
         changes += self.plan_allocators(state, now)
         for change in (
             plan_shift(state, unix_now),
--- a/medlarhollow/control/leases.py
+++ b/medlarhollow/control/leases.py
@@ -3,6 +3,7 @@
 import attrs
 
 from ..configuration.leases import account_lease_s
+from ..configuration.leases import effective_allocator_lease_s
 
 __all__ = ["LeaseMonitor"]
 
@@ -18,10 +19,11 @@
 
 @attrs.define
 class _LastReport:
-    """Time and share epoch of the latest report of one process."""
+    """Latest report of one process."""
 
     made_at: float
     share_epoch: int
+    revision: int
 
 
 class LeaseMonitor:
@@ -42,6 +44,8 @@
         self._share_epochs = {}
         self._leader_since = now
         self._last_reports = {}
+        # Monotonic time since which each departed VM is known, by name.
+        self._departed_since = {}
 
     def update(self, reports, now):
         """Record reports of VMs.
@@ -59,13 +63,14 @@
             previous = self._last_reports.get(key)
             if previous is None:
                 self._last_reports[key] = _LastReport(
-                    made_at, report.share_epoch
+                    made_at, report.share_epoch, report.revision
                 )
             else:
                 previous.made_at = max(previous.made_at, made_at)
                 previous.share_epoch = max(
                     previous.share_epoch, report.share_epoch
                 )
+                previous.revision = max(previous.revision, report.revision)
         retention_s = _RETENTION_LEASES * self._lease_s
         for key in [
             key
@@ -98,6 +103,80 @@
         )
         return now - last > self._lease_s * (1 + _MARGIN_FRACTION)
 
+    def is_reporting(self, vm, now):
+        """Return whether a VM has reported within the lease and the margin.
+
+        Parameters
+        ----------
+        vm : Vm
+            Its record in the roster.
+        now : float
+            Monotonic time in seconds.
+        """
+        record = self._last_reports.get((vm.name, vm.incarnation))
+        if record is None:
+            return False
+        return now - record.made_at <= self._lease_s * (1 + _MARGIN_FRACTION)
+
+    def have_all_applied(self, revision, state, now):
+        """Return whether all VMs that may spend tokens know a revision.
+
+        Parameters
+        ----------
+        revision : int
+            Revision of the state.
+        state : FleetState
+            Its roster lists the VMs.
+        now : float
+            Monotonic time in seconds.
+
+        Returns
+        -------
+        bool
+            True if each entry VM has reported it, and none has left the
+            roster so recently that it may be alive, partitioned from control
+            together with an allocator.
+        """
+        departed = state.departed_vms - set(self.list_ended(state, now))
+        return not departed and all(
+            self._reported_revision(vm) >= revision
+            for vm in state.vms.values()
+            if vm.caller_address
+        )
+
+    def list_ended(self, state, now):
+        """Return the departed VMs that cannot spend tokens any more.
+
+        Parameters
+        ----------
+        state : FleetState
+            Lists the departed VMs.
+        now : float
+            Monotonic time in seconds.
+
+        Returns
+        -------
+        list of str
+            Those that this leader has known as departed for longer than the
+            leases of allocators and batches together.
+        """
+        self._departed_since = {
+            name: self._departed_since.get(name, now)
+            for name in state.departed_vms
+        }
+        lease_s = effective_allocator_lease_s(state, self._limits)
+        wait_s = lease_s + self._limits.batch_lease_s
+        limit_s = wait_s * (1 + _MAX_CLOCK_DRIFT)
+        return sorted(
+            name
+            for name, since in self._departed_since.items()
+            if now - since > limit_s
+        )
+
+    def _reported_revision(self, vm):
+        record = self._last_reports.get((vm.name, vm.incarnation))
+        return -1 if record is None else record.revision
+
     def earlier_shares_expired(self, share, state, now):
         """Return whether earlier versions of a share are no longer in use.
 
--- a/medlarhollow/control/tests/fleet.py
+++ b/medlarhollow/control/tests/fleet.py
@@ -29,9 +29,14 @@
     return Vm(name, incarnation, "n", f"dc-{name[0]}", **fields)
 
 
-def report(record, share_epoch=0, age_s=0.0):
+def report(record, share_epoch=0, age_s=0.0, revision=0):
     """Return a report of the given VM."""
-    return VmReport(vm=record, share_epoch=share_epoch, report_age_s=age_s)
+    return VmReport(
+        vm=record,
+        revision=revision,
+        share_epoch=share_epoch,
+        report_age_s=age_s,
+    )
 
 
 def accept(state, body, now=1000.0):
--- a/medlarhollow/control/tests/test_allocators.py
+++ b/medlarhollow/control/tests/test_allocators.py
@@ -3,10 +3,12 @@
 import attrs
 import pytest
 
+from medlarhollow.configuration import FleetState
 from medlarhollow.control.allocators import plan_allocators
 from medlarhollow.messages.records import Allocator
 from medlarhollow.messages.records import SetAllocator
 from medlarhollow.messages.records import SetVm
+from medlarhollow.messages.records import Vm
 from medlarhollow.messages.records import VmState
 
 from .fleet import accept
@@ -14,6 +16,7 @@
 from .fleet import make_leases
 from .fleet import make_state
 from .fleet import report
+from .fleet import Settings
 from .fleet import vm
 
 
@@ -164,3 +167,136 @@
     (change,) = plan_allocators(state, leases, 0.0, registries_known=False)
     assert change.allocator.vm == "a2"
     assert len(plan_allocators(state, leases, 0.0)) == 2
+
+
+def test_silent_allocator_is_replaced_before_it_leaves_the_roster():
+    """Guards accounts whose tokens have one source against the time that a
+    VM remains in the roster after its loss."""
+    state = state_with_allocator("a1", "a2")
+    leases = make_leases()
+    leases.update([report(vm("a1")), report(vm("a2"))], 100.0)
+    now = 100.0 + LEASE_S * 1.5 + 0.1
+    leases.update([report(vm("a2"))], now)
+    assert plan_by_data_centre(state, leases, now) == {"dc-a": ("a2", "i1")}
+
+
+def test_allocator_stays_if_no_other_vm_reports():
+    """Guards against a new allocator on a VM that is silent as well."""
+    state = state_with_allocator("a1", "a2")
+    leases = make_leases()
+    leases.update([report(vm("a1")), report(vm("a2"))], 100.0)
+    assert plan_by_data_centre(state, leases, 110.0) == {}
+
+
+@pytest.mark.parametrize("returns_first", [False, True])
+def test_allocator_keeps_its_office_over_a_restart_of_all(returns_first):
+    """Guards against a wait for the lease of an allocator that has ended, at
+    a VM that only comes before it by name."""
+    state = make_state("a1", "a2")
+    accept(state, SetAllocator(Allocator("dc-a", "a2", "i1")))
+    leases = make_leases(now=100.0)
+    others = [] if returns_first else [vm("a1", "i2")]
+    for record in (*others, vm("a2", "i2")):
+        accept(state, SetVm(record))
+        leases.update([report(record)], 100.5)
+    now = 100.0 + LEASE_S * 1.5 + 0.1
+    assert plan_by_data_centre(state, leases, now) == {"dc-a": ("a2", "i2")}
+    accept(state, SetAllocator(Allocator("dc-a", "a2", "i2")))
+    assert not state.allocators["dc-a"].predecessor_may_run
+
+
+@pytest.fixture
+def successor():
+    """State in which a2 follows the allocator a1, and the leases."""
+    state = state_with_allocator("a1", "a2", "b1")
+    registry = attrs.evolve(vm("a1"), caller_address="", announce_address="h")
+    accept(state, SetVm(registry))
+    accept(state, SetAllocator(Allocator("dc-a", "a2", "i1")))
+    accept(state, SetAllocator(Allocator("dc-b", "b1", "i1")))
+    return state, make_leases(now=100.0)
+
+
+def confirmed(state, leases, now):
+    return [
+        change.allocator.vm
+        for change in plan_allocators(state, leases, now)
+        if change.allocator.is_confirmed
+    ]
+
+
+def test_successor_is_confirmed_once_all_entry_vms_know_it(successor):
+    """Guards against a wait for an allocator whose tokens nobody can spend,
+    since no VM that might do so is lost with it."""
+    state, leases = successor
+    epoch = state.allocators["dc-a"].epoch
+    leases.update([report(vm("a2"), revision=epoch)], 100.5)
+    leases.update([report(vm("b1"), revision=epoch - 1)], 100.5)
+    assert confirmed(state, leases, 100.5) == []
+    leases.update([report(vm("b1"), revision=epoch)], 100.9)
+    assert confirmed(state, leases, 100.9) == ["a2"]
+    (change,) = plan_allocators(state, leases, 100.9)
+    accept(state, change)
+    assert confirmed(state, leases, 101.0) == []
+    assert state.allocators["dc-a"].is_confirmed
+    assert state.allocators["dc-a"].epoch == epoch
+
+
+def test_new_process_of_an_entry_vm_has_to_confirm_the_successor(successor):
+    """Guards the rate of an account against a VM that read an older state
+    when it restarted."""
+    state, leases = successor
+    epoch = state.allocators["dc-a"].epoch
+    for name in ("a2", "b1"):
+        leases.update([report(vm(name), revision=epoch)], 100.5)
+    accept(state, SetVm(vm("b1", "i2")))
+    assert confirmed(state, leases, 100.6) == []
+
+
+def test_vm_that_was_just_lost_delays_the_successor(successor):
+    """Guards the rate of an account that is served in a data centre which is
+    cut off together with its allocator."""
+    state, leases = successor
+    epoch = state.allocators["dc-a"].epoch
+    accept(state, SetVm(vm("b1", state=VmState.GONE)))
+    assert state.departed_vms == {"b1"}
+    wait_s = 1.01 * (LEASE_S + Settings.limits.batch_lease_s)
+    for elapsed_s in (0.0, wait_s - 0.1, wait_s + 0.1):
+        now = 100.5 + elapsed_s
+        leases.update([report(vm("a2"), revision=epoch)], now)
+        is_due = elapsed_s > wait_s
+        assert confirmed(state, leases, now) == ["a2"][:is_due], elapsed_s
+
+
+def test_appointment_ends_the_confirmation_of_the_one_before(successor):
+    state, leases = successor
+    accept(
+        state,
+        SetAllocator(
+            attrs.evolve(state.allocators["dc-a"], is_confirmed=True)
+        ),
+    )
+    accept(state, SetVm(vm("a3")))
+    accept(state, SetAllocator(Allocator("dc-a", "a3", "i1", is_confirmed=1)))
+    assert not state.allocators["dc-a"].is_confirmed
+
+
+@pytest.mark.parametrize("incarnation", ["i1", "i2"])
+def test_vm_that_is_back_no_longer_counts_as_departed(successor, incarnation):
+    """Guards against a successor that waits for a process that has ended, or
+    does not wait for one that was cut off for a while."""
+    state, leases = successor
+    epoch = state.allocators["dc-a"].epoch
+    accept(state, SetVm(vm("b1", state=VmState.GONE)))
+    leases.update([report(vm("a2"), revision=epoch)], 100.5)
+    accept(state, SetVm(vm("b1", incarnation)))
+    assert confirmed(state, leases, 100.5) == []
+    leases.update([report(vm("b1", incarnation), revision=epoch)], 100.6)
+    assert confirmed(state, leases, 100.6) == ["a2"]
+
+
+def test_departed_vm_is_forgotten_when_it_cannot_run_any_longer():
+    state = make_state("a1", "b1")
+    accept(state, SetVm(vm("b1", state=VmState.GONE)))
+    assert FleetState.from_snapshot(state.snapshot()) == state
+    accept(state, SetVm(Vm("b1", state=VmState.GONE)))
+    assert state.departed_vms == set()
--- a/medlarhollow/daemon/process.py
+++ b/medlarhollow/daemon/process.py
@@ -241,6 +241,7 @@
         return self._state_cache
 
     def _make_report(self, now):
+        self._limiter.discard_superseded()
         return VmReport(
             vm=self._make_vm_record(),
             revision=self._state_cache.state.revision,
--- a/medlarhollow/limits/allocator.py
+++ b/medlarhollow/limits/allocator.py
@@ -44,7 +44,9 @@
     also waits until the leases of all batches issued so far have expired.
     Its buckets start empty. So two allocators are never active at the same
     time, whenever control appoints the second. Accounts with one bucket in
-    the fleet have a shorter lease, and their buckets start earlier.
+    the fleet have a shorter lease, and their buckets start earlier. All start
+    at once when control has established that no VM spends tokens of an
+    earlier epoch any more.
     """
 
     def __init__(self, settings, state_cache, incarnation, now):
@@ -204,6 +206,8 @@
             return
         if appointment.epoch != self._epoch:
             self._start_epoch(appointment, now)
+        elif appointment.is_confirmed and self._starts_at > now:
+            self._end_wait(now)
         if self._applied_revision != (state, state.revision):
             self._apply_shares(now)
             self._applied_revision = (state, state.revision)
@@ -229,12 +233,27 @@
             self._undivided_starts_at - now,
         )
 
+    def _end_wait(self, now):
+        """Start all buckets, since earlier tokens cannot be spent any more."""
+        _LOG.info(
+            "limits: all VMs have confirmed epoch %d; issuing tokens of all "
+            "accounts, %.2f s earlier",
+            self._epoch,
+            self._starts_at - now,
+        )
+        for account in list(self._buckets):
+            if self._start_of(account) > now:
+                # It would refill from the end of the wait only.
+                del self._buckets[account]
+        self._starts_at = self._undivided_starts_at = now
+        self._applied_revision = None
+
     def _earliest_start(self, appointment, lease_s, now):
         """Return when no token of a predecessor can be spent any more.
 
         The lease is that of the predecessor, from its proof of authority.
         """
-        if not appointment.has_predecessor:
+        if not appointment.has_predecessor or appointment.is_confirmed:
             return now
         wait_s = self._limits.batch_lease_s
         last_batch_at = now
--- a/medlarhollow/limits/allocator_client.py
+++ b/medlarhollow/limits/allocator_client.py
@@ -114,6 +114,19 @@
             and shares[account, source.data_centre].burst > 0
         ]
 
+    def is_superseded(self, data_centre, epoch):
+        """Return whether a later allocator is known than that of an epoch.
+
+        Parameters
+        ----------
+        data_centre : str
+            Data centre of the allocator.
+        epoch : int
+            Epoch of its appointment.
+        """
+        allocator = self._state_cache.state.allocators.get(data_centre)
+        return allocator is not None and epoch < allocator.epoch
+
     def has_complete_view(self):
         """Return whether the tokens of every allocator are known.
 
--- a/medlarhollow/limits/leased_tokens.py
+++ b/medlarhollow/limits/leased_tokens.py
@@ -189,6 +189,20 @@
             )
         }
 
+    def discard_superseded(self, is_superseded):
+        """Discard the batches of allocators that have been replaced.
+
+        Parameters
+        ----------
+        is_superseded : callable
+            Given the data centre and the epoch of an allocator.
+        """
+        self._batches = [
+            batch
+            for batch in self._batches
+            if not is_superseded(batch.source, batch.epoch)
+        ]
+
     def discard_expired(self, now):
         """Discard batches whose lease has expired."""
         self._batches = [
--- a/medlarhollow/limits/limiter.py
+++ b/medlarhollow/limits/limiter.py
@@ -145,6 +145,15 @@
                 queue.waiters.remove(waiter)
         return Ok(None) if is_admitted else _reject(account, queue)
 
+    def discard_superseded(self):
+        """Discard all tokens of allocators that have been replaced.
+
+        A VM must do so before it reports a revision: once all VMs have
+        reported the appointment of a successor, it issues the same tokens.
+        """
+        for queue in self._queues.values():
+            queue.tokens.discard_superseded(self._client.is_superseded)
+
     def pop_demand_samples(self, now):
         """Return the demand since the last call that returned samples.
 
@@ -327,6 +336,8 @@
         return response
 
     def _add_batch(self, queue, source, called_at, response):
+        if self._client.is_superseded(source.data_centre, response.epoch):
+            return
         queue.tokens.add(source.data_centre, response, called_at)
         self._admit_waiters(queue)
 
--- a/medlarhollow/limits/tests/test_allocator.py
+++ b/medlarhollow/limits/tests/test_allocator.py
@@ -356,3 +356,24 @@
             started_at = now
     assert issued_at > 100.0
     assert started_at >= issued_at + BATCH_S
+
+
+@pytest.mark.parametrize("is_divided", [False, True])
+@pytest.mark.parametrize("confirmed_at", [100.5, 103.0])
+def test_confirmed_successor_issues_tokens_at_once(is_divided, confirmed_at):
+    """Guards accounts against a wait for an allocator that is frozen, ended
+    or cut off alone."""
+    allocator, state_cache = make_successor(True, started_at=50.0)
+    state = state_cache.state
+    state.longest_stale_keys_s = STALE_KEYS_S
+    state.divided_accounts.update(["crew"][:is_divided])
+    appointment = attrs.evolve(state.allocators["north-a"], epoch=3)
+    state.allocators["north-a"] = appointment
+    state.revision += 1
+    assert acquire(allocator, state_cache, 100.0).tokens == 0
+    state.allocators["north-a"] = attrs.evolve(appointment, is_confirmed=True)
+    state.revision += 1
+    # The buckets start empty, so that both allocators together comply.
+    assert acquire(allocator, state_cache, confirmed_at).tokens == 0
+    response = acquire(allocator, state_cache, confirmed_at + 0.3, 1.0)
+    assert response.tokens == 1
--- a/medlarhollow/limits/tests/test_limiter.py
+++ b/medlarhollow/limits/tests/test_limiter.py
@@ -6,6 +6,7 @@
 import pytest
 
 from medlarhollow import clock
+from medlarhollow.agreement.tests.fakes import eventually
 from medlarhollow.limits import Limiter
 from medlarhollow.limits import ShareAllocator
 from medlarhollow.localfleet.ports import free_addresses
@@ -358,3 +359,36 @@
     await asyncio.gather(*calls)
     # A round of calls takes some 10 ms here, a refill half a second.
     assert sum(wait_s > 0.1 for wait_s in waits_s) <= 5
+
+
+def replace_allocator(fleet, data_centre, vm, epoch):
+    state = fleet.state_cache.state
+    state.allocators[data_centre] = attrs.evolve(
+        state.allocators[data_centre], vm=vm, epoch=epoch
+    )
+    state.revision += 1
+
+
+async def test_tokens_of_a_replaced_allocator_are_not_spent(make_fleet):
+    """Guards the rate of an account: once all VMs have reported a successor
+    it issues the same tokens."""
+    fleet = await make_fleet(("north-a", 50.0, 10.0))
+    await asyncio.sleep(0.2)
+    assert (await fleet.admit()).is_ok()
+    tokens = fleet.limiter._queues["crew"].tokens
+    while not tokens.available(clock.monotonic()):
+        await fleet.admit()
+    replace_allocator(fleet, "north-a", "far", 2)
+    fleet.limiter.discard_superseded()
+    assert tokens.available(clock.monotonic()) == 0
+
+
+async def test_late_tokens_of_a_replaced_allocator_are_not_spent(make_fleet):
+    fleet = await make_fleet(("north-a", 50.0, 10.0))
+    await asyncio.sleep(0.2)
+    fleet.services["near"].delayed_responses = 1
+    waiting = asyncio.create_task(fleet.admit(wait_s=0.5))
+    await eventually(lambda: not fleet.services["near"].delayed_responses)
+    replace_allocator(fleet, "north-a", "entry", 2)
+    fleet.limiter.discard_superseded()
+    assert (await waiting).is_err()
--- a/medlarhollow/messages/records.py
+++ b/medlarhollow/messages/records.py
@@ -391,6 +391,7 @@
     has_predecessor: bool = False
     predecessor_may_run: bool = False
     started: bool = False
+    is_confirmed: bool = False
 
 
 @attrs.frozen
@@ -709,6 +710,7 @@
     evacuations: "tuple[Evacuation, ...]" = ()
     ended_evacuations: "tuple[Evacuation, ...]" = ()
     divided_accounts: "tuple[str, ...]" = ()
+    departed_vms: "tuple[str, ...]" = ()
     requests: "tuple[RequestRecord, ...]" = ()
     claims: "tuple[ClaimRecord, ...]" = ()
     orders: "tuple[OrderRecord, ...]" = ()
