Say why a request got no tokens, and when to retry

Callers and operators saw: 429 "has used up its rate and burst" for accounts within their rate, while their allocator was lost or waited for its predecessor, and always the same Retry-After.

Cause: the limiter kept no reason; each request without a token was rejected in the same words.

Change: an allocator that waits says so. A request is rejected with the new kind TOKENS_UNAVAILABLE (503, not run) if an allocator of its account is silent or starting, with its data centre and the time, else with RATE_LIMITED as before. The queue of an account has its own module.

--- a/medlarhollow/errors/responses.py
+++ b/medlarhollow/errors/responses.py
@@ -36,6 +36,7 @@
     ErrorKind.FORBIDDEN: ErrorResponse(403, "not-run"),
     ErrorKind.CONFLICT: ErrorResponse(409, "not-run"),
     ErrorKind.RATE_LIMITED: ErrorResponse(429, "not-run", True),
+    ErrorKind.TOKENS_UNAVAILABLE: ErrorResponse(503, "not-run", True),
     ErrorKind.OVERLOADED: ErrorResponse(503, "not-run", True),
     ErrorKind.NO_BACKEND: ErrorResponse(503, "not-run", True),
     ErrorKind.DEADLINE_EXCEEDED: ErrorResponse(504, "not-run"),
--- a/medlarhollow/limits/allocator.py
+++ b/medlarhollow/limits/allocator.py
@@ -94,7 +94,9 @@
         bucket = self._buckets.get(request.account)
         wait_s = self._start_of(request.account) - now
         if wait_s > 0:
-            return TokenResponse(wait_s=wait_s, epoch=self._epoch)
+            return TokenResponse(
+                wait_s=wait_s, epoch=self._epoch, is_starting=True
+            )
         if bucket is None:
             return TokenResponse(
                 wait_s=self._limits.batch_lease_s, epoch=self._epoch
--- a/medlarhollow/limits/allocator_client.py
+++ b/medlarhollow/limits/allocator_client.py
@@ -106,14 +106,23 @@
         list of TokenSource
             Those of :meth:`sources` whose data centre has a share.
         """
-        shares = self._state_cache.state.shares
         return [
             source
             for source in self.sources(now)
-            if (account, source.data_centre) in shares
-            and shares[account, source.data_centre].burst > 0
+            if self.has_share(account, source.data_centre)
         ]
 
+    def has_share(self, account, data_centre):
+        """Return whether a data centre has a share of an account.
+
+        Parameters
+        ----------
+        account, data_centre : str
+            Their names.
+        """
+        share = self._state_cache.state.shares.get((account, data_centre))
+        return share is not None and share.burst > 0
+
     def is_superseded(self, data_centre, epoch):
         """Return whether a later allocator is known than that of an epoch.
 
--- a/medlarhollow/limits/limiter.py
+++ b/medlarhollow/limits/limiter.py
@@ -1,23 +1,22 @@
 """Admission control for the client accounts on one entry VM."""
 
 import asyncio
-import collections
 import contextlib
 import functools
 import logging
 import math
 
-import attrs
 from result import Ok
 
 from .. import clock
-from ..errors import fail
 from ..messages.records import DemandSample
-from ..messages.records import ErrorKind
 from ..messages.records import TokenRequest
 from ..telemetry import set_activity
+from .account_queue import AccountQueue
+from .account_queue import Waiter
 from .allocator_client import AllocatorClient
 from .leased_tokens import LeasedTokens
+from .shortage import reject_account
 
 __all__ = ["DEMAND_PERIOD_S", "Limiter"]
 
@@ -35,30 +34,6 @@
 DEMAND_PERIOD_S = 1.0
 
 
-@attrs.define
-class _AccountQueue:
-    """Waiting requests and leased tokens of one account."""
-
-    tokens: LeasedTokens
-    waiters: collections.deque = attrs.field(factory=collections.deque)
-    fetch_task: object = None
-    # Set when a response arrived after its call had timed out.
-    late_response: asyncio.Event = attrs.field(factory=asyncio.Event)
-    remote_call_at: float = float("-inf")
-    # All allocators are known to have no tokens until this time.
-    exhausted_until: float = float("-inf")
-    arrivals: int = 0
-    rejections: int = 0
-
-
-@attrs.frozen
-class _Waiter:
-    """Waiting request; its future is True if it received a token."""
-
-    future: asyncio.Future
-    enqueued_at: float
-
-
 class Limiter:
     """Admit requests within the rate and burst of their account.
 
@@ -114,12 +89,14 @@
         Returns
         -------
         result.Result
-            ``Ok(None)`` or ``RATE_LIMITED``.
+            ``Ok(None)``; ``RATE_LIMITED`` if the account has used up its
+            rate and burst, or ``TOKENS_UNAVAILABLE`` if an allocator of it
+            does not respond or does not issue tokens yet.
         """
         now = clock.monotonic()
         queue = self._queues.get(account)
         if queue is None:
-            queue = self._queues[account] = _AccountQueue(LeasedTokens(now))
+            queue = self._queues[account] = AccountQueue(LeasedTokens(now))
         queue.tokens.record_request(now)
         queue.arrivals += 1
         if not queue.waiters and queue.tokens.spend(now):
@@ -127,10 +104,10 @@
                 self._start_fetch(account, queue)
             return Ok(None)
         if queue.exhausted_until - now > self._settings.limits.refill_wait_s:
-            return _reject(account, queue)
+            return self._reject(account, queue, now)
         give_up_at = min(deadline_at, now + self._settings.limits.wait_limit_s)
         future = asyncio.get_running_loop().create_future()
-        waiter = _Waiter(future, now)
+        waiter = Waiter(future, now)
         queue.waiters.append(waiter)
         self._start_fetch(account, queue)
         try:
@@ -143,7 +120,9 @@
         finally:
             if waiter in queue.waiters:
                 queue.waiters.remove(waiter)
-        return Ok(None) if is_admitted else _reject(account, queue)
+        if is_admitted:
+            return Ok(None)
+        return self._reject(account, queue, clock.monotonic())
 
     def discard_superseded(self):
         """Discard all tokens of allocators that have been replaced.
@@ -333,8 +312,18 @@
         )
         if response is not None:
             self._add_batch(queue, source, called_at, response)
+        queue.record_shortage(source.data_centre, response, clock.monotonic())
         return response
 
+    def _reject(self, account, queue, now):
+        queue.rejections += 1
+        shortages = [
+            shortage
+            for data_centre, shortage in queue.shortages.items()
+            if self._client.has_share(account, data_centre)
+        ]
+        return reject_account(account, shortages, now)
+
     def _add_batch(self, queue, source, called_at, response):
         if self._client.is_superseded(source.data_centre, response.epoch):
             return
@@ -403,11 +392,3 @@
         yield sources[start : start + size]
         start += size
         size *= 2
-
-
-def _reject(account, queue):
-    queue.rejections += 1
-    return fail(
-        ErrorKind.RATE_LIMITED,
-        f"account '{account}' has used up its rate and burst",
-    )
--- a/medlarhollow/messages/records.py
+++ b/medlarhollow/messages/records.py
@@ -131,6 +131,7 @@
     STORAGE_DAMAGED = 17
     WRONG_CLUSTER = 18
     TOO_LARGE = 19
+    TOKENS_UNAVAILABLE = 20
 
 
 class Priority(enum.IntEnum):
@@ -1080,6 +1081,7 @@
     batch_id: int = 0
     settle_soon: bool = False
     call_id: int = 0
+    is_starting: bool = False
 
 
 @attrs.frozen
