Log why an object is requested from another server than before

Change: the line of a request says for each attempt whether it is the first for its object at this VM, or why the server before was passed over: full, cold, tried before, lower or no longer ranked, or not in the pool. Selection is unchanged.

--- a/medlarhollow/entry/slot.py
+++ b/medlarhollow/entry/slot.py
@@ -72,10 +72,11 @@
         assignment = self._assignment
         state = "cold" if assignment.is_cold else "warm"
         delay_ms = (self._started_at - self._selected_at) * 1000
+        reason = f", {assignment.reason}" if assignment.reason else ""
         return (
             f"{state}, record {assignment.record_age_s:.2f} s old, "
             f"lease {assignment.lease_left_s:.2f} s left, "
-            f"sent after {delay_ms:.1f} ms"
+            f"sent after {delay_ms:.1f} ms{reason}"
         )
 
     def start_timer(self):
--- a/medlarhollow/steering/assignment.py
+++ b/medlarhollow/steering/assignment.py
@@ -96,6 +96,8 @@
         nothing renew the lease only.
     lease_left_s : float
         Seconds until the lease ends at this VM.
+    reason : str
+        Why an object is requested from another server than before.
     """
 
     server: BackendServer
@@ -106,9 +108,10 @@
     is_cold: bool = False
     record_age_s: float = 0.0
     lease_left_s: float = 0.0
+    reason: str = ""
 
 
-def assign_candidate(candidate, version, wait_s, now):
+def assign_candidate(candidate, version, wait_s, now, reason=""):
     """Return the assignment of a candidate that was selected.
 
     Parameters
@@ -121,6 +124,8 @@
         Seconds that the request waited for the slot.
     now : float
         Monotonic time in seconds.
+    reason : str
+        Why an object is requested from another server than before.
     """
     return Assignment(
         candidate.view.server,
@@ -129,4 +134,5 @@
         is_cold=candidate.is_cold,
         record_age_s=now - candidate.view.load_at,
         lease_left_s=candidate.view.expires_at - now,
+        reason=reason,
     )
--- a/medlarhollow/steering/dispatcher.py
+++ b/medlarhollow/steering/dispatcher.py
@@ -15,6 +15,7 @@
 from .assignment import AttemptResult
 from .credit_requests import CreditRequests
 from .local_load import LocalLoadSampler
+from .object_history import ObjectHistory
 from .placement import identify_object_servers
 from .placement import is_allowed
 from .placement import Placement
@@ -60,6 +61,7 @@
         self._versions = versions or VersionSelector(settings, state_cache)
         self._pools = Pools(settings, state_cache, directory, self._versions)
         self._placement = Placement(settings, state_cache)
+        self._history = ObjectHistory()
         self._slots = SlotTracker(settings, directory, state_cache)
         self._is_fleet_wide = settings.backends.scope == "fleet"
         self._spill = SpillCoordinator(settings, state_cache, channels)
@@ -275,7 +277,8 @@
         if chosen is not None:
             self._slots.acquire(chosen.view, now)
             pool.in_flight += 1
-            return assign_candidate(chosen, pool.version, wait_s, now)
+            reason = self._history.record(chosen, candidates, request)
+            return assign_candidate(chosen, pool.version, wait_s, now, reason)
         if request.local_only or self._is_fleet_wide:
             return None
         return self._spill.spend(pool, request, now)
