--- a/medlarhollow/daemon/protocol.py
+++ b/medlarhollow/daemon/protocol.py
@@ -4,8 +4,8 @@
 import functools
 import itertools
 
-from .disconnect import has_disconnected
 from .head_limits import HeadLimitProtocol
+from .peer_watch import PeerWatch
 from .response_pipeline import observe_status
 from .response_pipeline import ResponsePipeline
 
@@ -31,8 +31,6 @@
 _PIECE_BYTES = 16
 # Data that is read and dropped after a refusal.
 _MAX_DROPPED_BYTES = 65536
-# Time between disconnect checks of a connection whose reading is paused.
-_DISCONNECT_CHECK_S = 0.1
 
 
 class HttpProtocol(HeadLimitProtocol):
@@ -73,8 +71,7 @@
         self._dropped_bytes = 0
         self._delay_timer = None
         self._parse_timer = None
-        self._unread_timer = None
-        self._disconnect_timer = None
+        self._watch = PeerWatch(self, limits.stall_timeout_s)
         self._closed_event = asyncio.Event()
         self._responses = None
         self._refusal = b""
@@ -88,12 +85,8 @@
 
     def connection_lost(self, exc):
         """Notify running requests; the HTTP server notifies only the last."""
-        for timer in (
-            self._disconnect_timer,
-            self._delay_timer,
-            self._parse_timer,
-            self._unread_timer,
-        ):
+        self._watch.stop()
+        for timer in (self._delay_timer, self._parse_timer):
             if timer is not None:
                 timer.cancel()
         self._closed_event.set()
@@ -115,8 +108,7 @@
             self._dropped_bytes += len(data)
             if self._dropped_bytes > _MAX_DROPPED_BYTES:
                 self.flow.pause_reading()
-                if self._disconnect_timer is None:
-                    self._start_disconnect_timer()
+                self._watch.watch_disconnect()
             return
         if self.transport.is_closing():
             return
@@ -126,7 +118,7 @@
     def pause_writing(self):
         """Limit the time for which the peer reads nothing."""
         super().pause_writing()
-        self._watch_unread()
+        self._watch.watch_unread()
 
     def resume_writing(self):
         """Continue with requests that waited for the peer to read."""
@@ -137,7 +129,7 @@
     def timeout_keep_alive_handler(self):
         """Close an idle connection, even if its peer reads nothing."""
         super().timeout_keep_alive_handler()
-        self._watch_unread()
+        self._watch.watch_unread()
 
     def on_message_begin(self):
         """Reset the byte counts and start the timeout of a new head."""
@@ -224,8 +216,7 @@
             return
         self._suspend_head_timer()
         self.flow.pause_reading()
-        if self._disconnect_timer is None:
-            self._start_disconnect_timer()
+        self._watch.watch_disconnect()
 
     def _count_held_body(self):
         """Count what this connection holds of bodies that nobody took."""
@@ -341,7 +332,7 @@
         self.server_state.total_requests += 1
         self._responses.finish(response)
         if self.transport.is_closing():
-            self._watch_unread()
+            self._watch.watch_unread()
             return
         self._unset_keepalive_if_required()
         self._delay_after_refusal(response)
@@ -399,34 +390,3 @@
         self._delay_timer = None
         self._start_waiting()
         self._parse_received()
-
-    def _watch_unread(self):
-        """Abort the connection if its peer reads nothing for a while."""
-        if self._unread_timer is None and (
-            unread_bytes := self.transport.get_write_buffer_size()
-        ):
-            self._unread_timer = self.loop.call_later(
-                self._limits.stall_timeout_s, self._check_unread, unread_bytes
-            )
-
-    def _check_unread(self, unread_bytes):
-        self._unread_timer = None
-        if self.transport.get_write_buffer_size() >= unread_bytes:
-            self.abort()
-        else:
-            self._watch_unread()
-
-    def _start_disconnect_timer(self):
-        self._disconnect_timer = self.loop.call_later(
-            _DISCONNECT_CHECK_S, self._check_disconnect
-        )
-
-    def _check_disconnect(self):
-        """Abort a connection closed by the caller while reading is paused."""
-        self._disconnect_timer = None
-        if self.transport.is_closing() or not self.flow.read_paused:
-            return
-        if has_disconnected(self.transport.get_extra_info("socket")):
-            self.transport.abort()
-        else:
-            self._start_disconnect_timer()
