Wait for a slow server where the settings say so

Cause: with `silent_part = 1`, which means to wait for a silent server, the wait ended at the deadline, and a timer of uvloop may end up to a millisecond before it; the check for a retry then still saw time left. The response that may take 0.1 s more was dropped. Found by the reason of each attempt that is logged since ("tried before").

Change: with 1, nothing is retried for silence.

--- a/medlarhollow/entry/attempts.py
+++ b/medlarhollow/entry/attempts.py
@@ -270,9 +270,10 @@
     )
     response = None
     try:
-        if admission.idempotent and caller.is_buffered:
+        silent_part = vm.settings.entry.silent_part
+        if admission.idempotent and caller.is_buffered and silent_part < 1:
             left_s = admission.slot_request.deadline_at - clock.monotonic()
-            silence_limit_s = left_s * vm.settings.entry.silent_part
+            silence_limit_s = left_s * silent_part
             await asyncio.wait({request_task}, timeout=silence_limit_s)
             if not request_task.done() and await _reserve_retry(
                 vm, caller, admission, progress
--- a/medlarhollow/entry/tests/test_late_answers.py
+++ b/medlarhollow/entry/tests/test_late_answers.py
@@ -3,6 +3,7 @@
 import asyncio
 
 import pytest
+import uvloop
 
 from medlarhollow import clock
 
@@ -119,3 +120,27 @@
             headers={"x-deadline-ms": str(deadline_ms)},
         )
     assert (status, body) == (200, b"ready")
+
+
+def test_slow_server_is_not_left_at_the_deadline():
+    """Guards a response in transit, and a second server, against a retry
+    that has no time left."""
+
+    async def run():
+        first = FakeBackend(respond(b"own", delay_s=0.55))
+        second = FakeBackend(respond(b"other"))
+        entry = EntryHarness(silent_part=1.0)
+        entry.add_route("/timed", timeout_s=0.5, idempotent=True, open=True)
+        async with entry.run(first, second):
+            responses = await asyncio.gather(
+                *(entry.call("/timed/1", key=False) for _ in range(20))
+            )
+        assert {(status, body) for status, _, body in responses} == {
+            (200, b"own")
+        }
+        assert second.requests == []
+
+    # Its timers have a resolution of a millisecond, so that a wait until the
+    # deadline may end before it.
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(run())
