Confirm leaves without waiting for further changes

Cause: both ends of a stream waited up to 0.15 s for further changes before they sent, so that a confirmation took up to 0.3 s of its 0.75 s before any work.

Change: an update that asks for a confirmation, and its reply, are sent at once. The limits are as before. LocalLoad has its own module.

Evidence: the new test, in which further changes are waited for without end, fails before and passes now. Whether this alone was the cause of the 503 is not shown.

--- a/medlarhollow/membership/__init__.py
+++ b/medlarhollow/membership/__init__.py
@@ -5,8 +5,8 @@
 from .announcement import check_open_announcement
 from .directory import Directory
 from .exchange import Exchange
-from .exchange import LocalLoad
 from .lease import is_overdue
+from .local_load import LocalLoad
 from .lookup import list_entry_vms
 from .lookup import list_nearest_entry_vms
 from .lookup import LookupOrder
--- a/medlarhollow/membership/confirmation.py
+++ b/medlarhollow/membership/confirmation.py
@@ -7,8 +7,8 @@
 
 __all__ = ["ConfirmationTracker", "StreamProgress"]
 
-# All VMs have this long to confirm: a batch delay, a round trip between
-# regions, and a lost packet that is sent again.
+# All VMs have this long to confirm: a round trip between regions, and a lost
+# packet that is sent again.
 _ALL_LIMIT_S = 0.45
 # After it, enough of them do. Backend servers wait a second for an
 # acknowledgement.
@@ -31,8 +31,8 @@
         Sequence number of the last update received.
     confirmed : int
         Last update that the other VM confirmed.
-    is_reply_due : bool
-        Whether the other VM waits for a confirmation.
+    urgent : asyncio.Event
+        Set while one of the two VMs waits for a confirmation.
     """
 
     wake_event: asyncio.Event = attrs.field(factory=asyncio.Event)
@@ -40,7 +40,7 @@
     sent: int = 0
     received: int = 0
     confirmed: int = 0
-    is_reply_due: bool = False
+    urgent: asyncio.Event = attrs.field(factory=asyncio.Event)
 
     def record(self, update):
         """Record a received update."""
@@ -48,8 +48,12 @@
         self.received = update.sequence
         self.confirmed = max(self.confirmed, update.confirmed)
         if update.wants_confirmation:
-            self.is_reply_due = True
-            self.wake_event.set()
+            self.wake()
+
+    def wake(self):
+        """Send an update at once."""
+        self.urgent.set()
+        self.wake_event.set()
 
 
 class ConfirmationTracker:
@@ -108,7 +112,8 @@
         targets = {stream: stream.sent + 1 for stream in self._streams}
         self._waiting += 1
         for stream in self._streams:
-            stream.wake_event.set()
+            if stream.name in names:
+                stream.wake()
         try:
             if await self._wait_for(names, len(names), targets, _ALL_LIMIT_S):
                 return True
--- a/medlarhollow/membership/exchange.py
+++ b/medlarhollow/membership/exchange.py
@@ -1,6 +1,7 @@
 """Exchange of directory updates between VMs."""
 
 import asyncio
+import contextlib
 import logging
 
 import attrs
@@ -11,12 +12,13 @@
 from ..messages.records import VmState
 from ..messages.services import FleetStub
 from .confirmation import ConfirmationTracker
+from .local_load import LocalLoad
 from .registries import RegistrySelector
 from .updates import Audience
 from .updates import OutgoingUpdates
 from .updates import split_by_encoding
 
-__all__ = ["Exchange", "LocalLoad"]
+__all__ = ["Exchange"]
 
 _LOG = logging.getLogger(__name__)
 _INTERVAL_S = 1.0
@@ -26,22 +28,6 @@
 _RETRY_INTERVAL_S = 0.5
 
 
-@attrs.frozen
-class LocalLoad:
-    """Requests in flight from this VM.
-
-    Attributes
-    ----------
-    in_flight : dict of str to int
-        By backend server.
-    in_demand : frozenset of str
-        Backend servers for which requests are queued here.
-    """
-
-    in_flight: dict = attrs.field(factory=dict)
-    in_demand: frozenset = frozenset()
-
-
 class Exchange:
     """Maintain streams to other VMs.
 
@@ -296,7 +282,7 @@
                 wants_confirmation=self._confirmations.is_waiting,
             )
             progress.sent = update.sequence
-            progress.is_reply_due = False
+            progress.urgent.clear()
             async with asyncio.timeout(silence_s):
                 await self._send_encodable(stream, update)
             try:
@@ -304,8 +290,9 @@
                     await wake_event.wait()
             except TimeoutError:
                 continue
-            if not progress.is_reply_due:
-                await asyncio.sleep(_BATCH_DELAY_S)
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(_BATCH_DELAY_S):
+                    await progress.urgent.wait()
 
     async def _send_encodable(self, stream, update):
         """Send a message, without the records that have no encoding."""
--- a/medlarhollow/membership/tests/test_registries.py
+++ b/medlarhollow/membership/tests/test_registries.py
@@ -466,6 +466,16 @@
         assert other.directory.find("s1").leaving
 
 
+async def test_leave_does_not_wait_for_other_changes(registries, monkeypatch):
+    """Guards servers that leave against a confirmation that is late because
+    each end waits for further changes to send with it."""
+    monkeypatch.setattr("medlarhollow.membership.exchange._BATCH_DELAY_S", 5.0)
+    (first, second, third), _ = registries
+    for member in (second, third):
+        member.announce(server_id="s9", address="127.0.0.1:8")
+    assert await share_leave(first)
+
+
 async def test_leave_is_confirmed_while_one_registry_is_silent(registries):
     (first, second, _), relays = registries
     silence(relays["r3"])
