Let a peer read complete responses before its connection ends

Callers saw: an order that its server had answered got no answer, because a look-up behind it on the connection was truncated after its start had been sent.

Cause: abort() reset the connection with a zero linger, which drops what is still to be sent, and what the client has not taken in: asyncio streams raise a reset before they return what they buffered. The same class: a regular close resets the connection too, if requests arrive after it or wait unread (RFC 9112, section 9.6), so the last response before a close was cut on a narrow link when a request crossed the close: Connection: close, idle timeout, planned stop.

Change: a connection that has sent a complete response ends by a half-close; what arrives is dropped until the peer closes, or takes nothing more for 1 s. Where only a reset shows the cut (HTTP/1.0 without a length), the reset follows after that time. A connection without an earlier response is reset as before. Requests on a connection that ends are told at once. Connections that only wait for their peer are not counted as aborted by a stop.

--- a/medlarhollow/daemon/disconnect.py
+++ b/medlarhollow/daemon/disconnect.py
@@ -1,8 +1,31 @@
-"""Detect that the peer of a connection has closed it."""
+"""State of the peer of a connection, as the system knows it."""
 
+import fcntl
 import select
+import struct
+import termios
 
-__all__ = ["has_disconnected"]
+__all__ = ["count_unacknowledged_bytes", "has_disconnected"]
+
+
+def count_unacknowledged_bytes(connection):
+    """Return how much of what was sent the peer has not received.
+
+    Parameters
+    ----------
+    connection : socket.socket
+        The connection.
+
+    Returns
+    -------
+    int
+        Bytes; 0 if the system does not tell.
+    """
+    try:
+        answer = fcntl.ioctl(connection, termios.TIOCOUTQ, bytes(4))
+    except OSError:
+        return 0
+    return struct.unpack("i", answer)[0]
 
 
 def has_disconnected(connection):
--- a/medlarhollow/daemon/head_limits.py
+++ b/medlarhollow/daemon/head_limits.py
@@ -1,20 +1,23 @@
 """Limits of the request heads of a connection."""
 
 import json
+import math
 import socket
 import struct
 
 import httptools
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
+from .disconnect import count_unacknowledged_bytes
 from .disconnect import has_disconnected
 
 __all__ = ["HeadLimitProtocol"]
 
 # SO_LINGER enabled with a timeout of 0: close() resets the connection.
 _ZERO_LINGER = struct.pack("ii", 1, 0)
-# Time for a refused caller to read the response and close.
-_REFUSAL_LINGER_S = 1.0
+# Time for a caller to read the responses and close; it goes on while the
+# caller receives them.
+_LINGER_S = 1.0
 _REFUSALS = {
     "too large": (b"431 Request Header Fields Too Large", "too_large"),
     "slow": (b"408 Request Timeout", "deadline_exceeded"),
@@ -48,18 +51,27 @@
         self._parsed_head_bytes = 0
         self._fault = "malformed"
         self._is_refused = False
+        self._is_ending = False
+        self._linger_timer = None
+        self._finish_ending = None
         self._is_head_suspended = False
         # Whether the parser reads a head that only describes a body.
         self._is_resuming = False
 
+    @property
+    def is_ending(self):
+        """Whether the connection only waits for its peer to read."""
+        return self._is_ending
+
     def connection_made(self, transport):
         """Start the timeout of the first head."""
         super().connection_made(transport)
         self._start_head_timer()
 
     def connection_lost(self, exc):
-        """Stop the timeout of the head."""
+        """Stop the timeouts of the head and of a close."""
         self._stop_head_timer()
+        self._stop_linger_timer()
         super().connection_lost(exc)
 
     def data_received(self, data):
@@ -139,12 +151,21 @@
     def end_gracefully(self):
         """Close after the peer has had time to read the responses.
 
-        Closing while received data is unread resets the connection.
+        A close while received data is unread, or data that arrives after it,
+        resets the connection; a reset discards what the peer has not read
+        (RFC 9112, section 9.6). So this sends the end of the connection,
+        drops what it receives, and closes later.
         """
-        self._is_refused = True
-        self._stop_head_timer()
+        if self._is_ending or self.transport.is_closing():
+            return
         self.transport.write_eof()
-        self.loop.call_later(_REFUSAL_LINGER_S, self.transport.close)
+        self._linger(self.transport.close)
+
+    def finish_ending(self):
+        """Close a connection that ends, without waiting for its peer."""
+        if self._is_ending:
+            self._stop_linger_timer()
+            self._finish_ending()
 
     def has_left(self):
         """Return whether the peer has closed the connection.
@@ -152,20 +173,17 @@
         This reads the state of the socket, so that a close counts before the
         event loop has processed it.
         """
-        if self.transport.is_closing():
+        if self.is_closed():
             return True
         connection = self.transport.get_extra_info("socket")
         return connection is not None and has_disconnected(connection)
 
     def is_closed(self):
         """Return whether the connection is closed or closing."""
-        return self.transport.is_closing()
-
-    def abort(self):
-        """Reset the connection, so that no response appears complete.
+        return self._is_ending or self.transport.is_closing()
 
-        A regular close marks the end of a complete response to HTTP/1.0.
-        """
+    def reset(self):
+        """Reset the connection and discard what its peer has not read."""
         connection = self.transport.get_extra_info("socket")
         if connection is not None and not self.transport.is_closing():
             connection.setsockopt(
@@ -173,6 +191,34 @@
             )
         self.transport.abort()
 
+    def _linger(self, finish):
+        """Call a function once the peer has had time to read all data."""
+        self._is_refused = self._is_ending = True
+        self._stop_head_timer()
+        self._finish_ending = finish
+        self.flow.resume_reading()
+        self._start_linger_timer(math.inf)
+
+    def _start_linger_timer(self, unsent_bytes):
+        self._linger_timer = self.loop.call_later(
+            _LINGER_S, self._handle_linger_timeout, unsent_bytes
+        )
+
+    def _stop_linger_timer(self):
+        if self._linger_timer is not None:
+            self._linger_timer.cancel()
+            self._linger_timer = None
+
+    def _handle_linger_timeout(self, previous_bytes):
+        unsent_bytes = self.transport.get_write_buffer_size()
+        connection = self.transport.get_extra_info("socket")
+        if connection is not None:
+            unsent_bytes += count_unacknowledged_bytes(connection)
+        if 0 < unsent_bytes < previous_bytes:
+            self._start_linger_timer(unsent_bytes)
+        else:
+            self._finish_ending()
+
     def _parse(self, data):
         try:
             self.parser.feed_data(data)
@@ -219,7 +265,7 @@
 
     def _abort_last(self):
         """Abort the request that is being read."""
-        self.abort()
+        self.reset()
 
     def _refuse(self, response):
         """Send the response to a refused head and end the connection."""
--- a/medlarhollow/daemon/http.py
+++ b/medlarhollow/daemon/http.py
@@ -98,16 +98,25 @@
         for connection in list(self.server_state.connections):
             connection.shutdown()
         await self._wait_until_idle(self._drain_limit_s)
-        remaining = list(self.server_state.connections)
+        remaining = [
+            connection
+            for connection in self.server_state.connections
+            if not connection.is_ending
+        ]
         self._aborted = max(len(remaining), len(self.server_state.tasks))
-        if not self._aborted:
-            return
+        if self._aborted:
+            await self._abort_requests(remaining)
+        for connection in list(self.server_state.connections):
+            connection.finish_ending()
+
+    async def _abort_requests(self, connections):
+        """Abort connections and the requests that run."""
         _LOG.warning(
             "daemon: drain limit reached at %s; aborting %d requests",
             self._address,
             self._aborted,
         )
-        for connection in remaining:
+        for connection in connections:
             connection.abort()
         await self._wait_until_idle(_ABORT_WAIT_S)
         for task in self.server_state.tasks:
--- a/medlarhollow/daemon/peer_watch.py
+++ b/medlarhollow/daemon/peer_watch.py
@@ -9,7 +9,7 @@
 
 
 class PeerWatch:
-    """Abort a connection whose peer reads nothing or has left.
+    """Reset a connection whose peer reads nothing or has left.
 
     Parameters
     ----------
@@ -32,7 +32,7 @@
                 timer.cancel()
 
     def watch_unread(self):
-        """Abort the connection if its peer reads nothing for a while."""
+        """Reset the connection if its peer reads nothing for a while."""
         unread_bytes = self._connection.transport.get_write_buffer_size()
         if self._unread_timer is None and unread_bytes:
             self._unread_timer = self._connection.loop.call_later(
@@ -50,7 +50,7 @@
         self._unread_timer = None
         transport = self._connection.transport
         if transport.get_write_buffer_size() >= unread_bytes:
-            self._connection.abort()
+            self._connection.reset()
         else:
             self.watch_unread()
 
--- a/medlarhollow/daemon/protocol.py
+++ b/medlarhollow/daemon/protocol.py
@@ -75,6 +75,7 @@
         self._closed_event = asyncio.Event()
         self._responses = None
         self._refusal = b""
+        self._has_responded = False
         self._defer_start = False
 
     def connection_made(self, transport):
@@ -89,18 +90,8 @@
         for timer in (self._delay_timer, self._parse_timer):
             if timer is not None:
                 timer.cancel()
-        self._closed_event.set()
-        self._unparsed.clear()
-        self._read_ahead.waiting -= len(self.pipeline)
-        self._read_ahead.body_bytes -= self._held_body_bytes
-        self._held_body_bytes = 0
-        self.pipeline.clear()
         super().connection_lost(exc)
-        for response in self._responses:
-            if not response.cycle.response_complete:
-                response.cycle.disconnected = True
-                response.cycle.message_event.set()
-            response.wake()
+        self._end_requests()
 
     def data_received(self, data):
         """Parse data as far as the limits permit."""
@@ -128,8 +119,7 @@
 
     def timeout_keep_alive_handler(self):
         """Close an idle connection, even if its peer reads nothing."""
-        super().timeout_keep_alive_handler()
-        self._watch.watch_unread()
+        self.end_gracefully()
 
     def on_message_begin(self):
         """Reset the byte counts and start the timeout of a new head."""
@@ -171,7 +161,10 @@
     def shutdown(self):
         """Close the connection after the pending responses."""
         if not len(self._responses):
-            self.transport.close()
+            if self._has_responded:
+                self.end_gracefully()
+            else:
+                self.transport.close()
             return
         last = self._responses.last
         if last.is_done:
@@ -179,6 +172,29 @@
         else:
             last.cycle.keep_alive = False
 
+    def end_gracefully(self):
+        """Close after the peer has had time to read the responses."""
+        super().end_gracefully()
+        self._end_requests()
+        self._watch.watch_unread()
+
+    def abort(self):
+        """End the connection, so that no response appears complete.
+
+        A reset discards the earlier responses that the peer has not read.
+        Where only a reset shows that a response is incomplete, it follows
+        once the peer has had time to read them.
+        """
+        if self.is_ending:
+            return
+        if not self._has_responded:
+            self.reset()
+        elif self._responses.shows_truncation:
+            self.end_gracefully()
+        else:
+            self._linger(self.reset)
+            self._end_requests()
+
     def may_close(self):
         """Return whether no request after the first one is running.
 
@@ -190,6 +206,20 @@
         """Continue to read the connection where its limits permit."""
         self._parse_received()
 
+    def _end_requests(self):
+        """Notify running requests; the HTTP server notifies only the last."""
+        self._closed_event.set()
+        self._unparsed.clear()
+        self._read_ahead.waiting -= len(self.pipeline)
+        self._read_ahead.body_bytes -= self._held_body_bytes
+        self._held_body_bytes = 0
+        self.pipeline.clear()
+        for response in self._responses:
+            if not response.cycle.response_complete:
+                response.cycle.disconnected = True
+                response.cycle.message_event.set()
+            response.wake()
+
     def _parse_received(self):
         """Parse what was received and read on, both as far as permitted."""
         if self.transport.is_closing() or self._is_refused:
@@ -257,6 +287,7 @@
     def _refuse(self, response):
         """Refuse a head after the responses to earlier requests."""
         if not len(self._responses):
+            self._has_responded = True
             super()._refuse(response)
             return
         self._refusal = response
@@ -286,6 +317,8 @@
 
     def _start_waiting(self):
         """Start the waiting requests that may start now."""
+        if self.is_ending:
+            return
         for response in list(self._responses):
             if response.is_started:
                 continue
@@ -330,8 +363,9 @@
 
     def _finish_response(self, response):
         self.server_state.total_requests += 1
+        self._has_responded = True
         self._responses.finish(response)
-        if self.transport.is_closing():
+        if self.is_closed():
             self._watch.watch_unread()
             return
         self._unset_keepalive_if_required()
--- a/medlarhollow/daemon/response_pipeline.py
+++ b/medlarhollow/daemon/response_pipeline.py
@@ -42,6 +42,19 @@
             400 <= self.status < 500 or self.status == 503
         )
 
+    @property
+    def shows_truncation(self):
+        """Whether a regular close shows that the response is incomplete.
+
+        To HTTP/1.0, it marks the end of a response without a length.
+        """
+        cycle = self.cycle
+        return (
+            not cycle.response_started
+            or cycle.chunked_encoding is False
+            or cycle.scope["http_version"] != "1.0"
+        )
+
     @property
     def write_paused(self):
         """Whether the writer has to wait in :meth:`drain`."""
@@ -55,6 +68,8 @@
 
     def write(self, data):
         """Write data, or buffer it while earlier responses are pending."""
+        if self._pipeline.connection.is_ending:
+            return
         if self._pipeline.is_first(self):
             self._pipeline.transport.write(data)
         else:
@@ -78,7 +93,7 @@
     def close(self):
         """Close the connection after this response."""
         if self._pipeline.is_first(self):
-            self._pipeline.transport.close()
+            self._pipeline.connection.end_gracefully()
         else:
             self._must_close = True
 
@@ -104,7 +119,7 @@
         """End the connection instead of this response.
 
         Earlier responses are sent first; the peer then sees the end of the
-        connection where this response would start.
+        connection where this response would start or go on.
         """
         if self._pipeline.is_first(self):
             self._pipeline.connection.abort()
@@ -114,7 +129,7 @@
 
     def is_closing(self):
         """Return whether the connection is closed or closing."""
-        return self._pipeline.transport.is_closing()
+        return self._pipeline.connection.is_closed()
 
     def flush(self):
         """Write the buffered data after the response has become first."""
@@ -123,9 +138,9 @@
             return
         data = self._clear_buffer()
         if data:
-            self._pipeline.transport.write(data)
+            self.write(data)
         if self._must_close:
-            self._pipeline.transport.close()
+            self._pipeline.connection.end_gracefully()
         self.wake()
 
     def wake(self):
@@ -161,6 +176,11 @@
     def __iter__(self):
         return iter(self._pending)
 
+    @property
+    def shows_truncation(self):
+        """Whether a regular close makes no incomplete response look whole."""
+        return not self._pending or self._pending[0].shows_truncation
+
     @property
     def last(self):
         """PipelinedResponse : response to the most recent request."""
--- a/medlarhollow/entry/tests/fakes.py
+++ b/medlarhollow/entry/tests/fakes.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import socket
 import time
 import uuid
 
@@ -372,6 +373,19 @@
         return reader, writer
 
 
+async def connect_narrowly(address, data):
+    """Send data from a client whose buffers take a few kilobytes."""
+    connection = socket.socket()
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    connection.setblocking(False)
+    host, port = address.split(":")
+    loop = asyncio.get_running_loop()
+    await loop.sock_connect(connection, (host, int(port)))
+    reader, writer = await asyncio.open_connection(sock=connection, limit=4096)
+    writer.write(data)
+    return reader, writer
+
+
 async def eventually(check, limit_s=3.0):
     """Wait until `check` returns a true value."""
     async with asyncio.timeout(limit_s):
