--- a/Makefile
+++ b/Makefile
@@ -2,13 +2,18 @@
 VENV ?= .venv
 RUN = $(VENV)/bin/python
 LOCK = build/lock
+# Libraries are compiled for a processor and a version of Python.
+PLATFORM := $(shell $(PYTHON) -c 'import sysconfig as s; \
+    print(s.get_platform(), s.get_python_version(), sep="-")')
+INSTALLED = $(VENV)/.installed-$(PLATFORM)
 
 .PHONY: setup quickstart test lint modelcheck format generate lock
 
-setup: $(VENV)/.installed
+setup: $(INSTALLED)
 
-$(VENV)/.installed: requirements/dev.lock
-	test -x $(RUN) || $(PYTHON) -m venv $(VENV)
+$(INSTALLED): requirements/dev.lock
+	rm -rf $(VENV)
+	$(PYTHON) -m venv $(VENV)
 	$(RUN) -m pip install --quiet --require-hashes --no-deps -r requirements/dev.lock
 	touch $@
 
