Test an unread response before a body that passes its time limit

A relative of the reset behind an answered order: the response behind it has been started, and its server stays silent until the deadline.

--- a/medlarhollow/entry/tests/test_unread_responses.py
+++ b/medlarhollow/entry/tests/test_unread_responses.py
@@ -88,6 +88,26 @@
         writer.close()
 
 
+async def test_unread_response_survives_a_timeout_after_the_start():
+    """Guards an answered order against a body behind it that never ends."""
+
+    async def stall(request, reader, writer):
+        writer.write(CHUNKED + b"4\r\nhalf\r\n")
+        await reader.read()
+
+    backend = FakeBackend(by_path({"/post": respond(), "/short": stall}))
+    entry = EntryHarness()
+    entry.add_route("/short", timeout_s=0.4, open=True, idempotent=True)
+    async with entry.run(backend):
+        reader, writer = await entry.connect(
+            ORDER + LOOKUP.replace(b"/open", b"/short") + b"\r\n"
+        )
+        await asyncio.sleep(1.0)
+        await check_order(reader)
+        check_truncated(*await read_rest(reader))
+        writer.close()
+
+
 @pytest.mark.parametrize("part", PARTS.values(), ids=PARTS)
 async def test_unread_response_reaches_a_narrow_link(part):
     """Guards a large response, most of which is still to be sent."""
