Divide the steering package by topic

Change: placement (which server), queueing (what waits), regions (traffic between regions and data centres) and servers (what a VM knows of each server).

--- a/bench/blocks.py
+++ b/bench/blocks.py
@@ -3,7 +3,7 @@
 import random
 import time
 
-from medlarhollow.steering.block_table import BlockTable
+from medlarhollow.steering.regions.block_table import BlockTable
 
 from .report import fit_line
 from .report import write_results
--- a/medlarhollow/steering/__init__.py
+++ b/medlarhollow/steering/__init__.py
@@ -3,10 +3,10 @@
 from .assignment import Assignment
 from .assignment import AttemptResult
 from .assignment import SlotRequest
-from .caller_regions import CallerRegions
-from .cold_senders import select_cold_senders
 from .dispatcher import Dispatcher
-from .reported_load import ServerLoad
+from .regions.caller_regions import CallerRegions
+from .servers.cold_senders import select_cold_senders
+from .servers.reported_load import ServerLoad
 
 __all__ = [
     "Assignment",
--- a/medlarhollow/steering/dispatcher.py
+++ b/medlarhollow/steering/dispatcher.py
@@ -13,16 +13,16 @@
 from ..moves import VersionSelector
 from .assignment import assign_candidate
 from .assignment import AttemptResult
-from .credit_requests import CreditRequests
-from .local_load import LocalLoadSampler
-from .object_history import ObjectHistory
-from .placement import identify_object_servers
-from .placement import is_allowed
-from .placement import Placement
-from .pool import WaitingRequest
-from .pools import Pools
-from .slot_tracker import SlotTracker
-from .spill import SpillCoordinator
+from .placement.object_history import ObjectHistory
+from .placement.placement import identify_object_servers
+from .placement.placement import is_allowed
+from .placement.placement import Placement
+from .queueing.pool import WaitingRequest
+from .queueing.pools import Pools
+from .regions.credit_requests import CreditRequests
+from .regions.spill import SpillCoordinator
+from .servers.local_load import LocalLoadSampler
+from .servers.slot_tracker import SlotTracker
 
 __all__ = ["Dispatcher"]
 
--- /dev/null
+++ b/medlarhollow/steering/queueing/__init__.py
@@ -0,0 +1,1 @@
+"""Queues of requests that wait for a slot."""
--- a/medlarhollow/steering/pool.py
+++ b/medlarhollow/steering/queueing/pool.py
@@ -4,8 +4,8 @@
 
 import attrs
 
-from ..errors import fail
-from ..messages.records import ErrorKind
+from ...errors import fail
+from ...messages.records import ErrorKind
 from .queue import FairQueue
 from .queue import list_ranks_up_to
 
--- a/medlarhollow/steering/queue.py
+++ b/medlarhollow/steering/queueing/queue.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from ..messages.records import Priority
+from ...messages.records import Priority
 
 __all__ = ["RANKS", "FairQueue", "Ticket", "list_ranks_up_to"]
 
--- /dev/null
+++ b/medlarhollow/steering/regions/__init__.py
@@ -0,0 +1,1 @@
+"""Regions of callers, and the traffic between regions and data centres."""
--- a/medlarhollow/steering/credit.py
+++ b/medlarhollow/steering/regions/credit.py
@@ -5,9 +5,9 @@
 
 import attrs
 
-from ..messages.records import CreditResponse
-from ..messages.records import ErrorKind
-from ..messages.records import Failure
+from ...messages.records import CreditResponse
+from ...messages.records import ErrorKind
+from ...messages.records import Failure
 
 __all__ = ["CreditLedger", "RemoteCredit", "link_capacity"]
 
--- a/medlarhollow/steering/credit_requests.py
+++ b/medlarhollow/steering/regions/credit_requests.py
@@ -4,7 +4,7 @@
 import logging
 import math
 
-from .. import clock
+from ... import clock
 
 __all__ = ["CreditRequests"]
 
--- /dev/null
+++ b/medlarhollow/steering/servers/__init__.py
@@ -0,0 +1,1 @@
+"""What this VM knows of each backend server: slots, loads, failures."""
--- a/medlarhollow/steering/cold_servers.py
+++ b/medlarhollow/steering/servers/cold_servers.py
@@ -6,7 +6,7 @@
 earlier selection, so the fractions leave room for two selections.
 """
 
-from ..membership import is_overdue
+from ...membership import is_overdue
 from .cold_senders import select_cold_senders
 
 __all__ = ["ColdServerPacer"]
--- a/medlarhollow/steering/local_load.py
+++ b/medlarhollow/steering/servers/local_load.py
@@ -2,7 +2,7 @@
 
 import math
 
-from ..membership import LocalLoad
+from ...membership import LocalLoad
 
 __all__ = ["LocalLoadSampler"]
 
--- a/medlarhollow/steering/outlier_detection.py
+++ b/medlarhollow/steering/servers/outlier_detection.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from .assignment import AttemptResult
+from ..assignment import AttemptResult
 
 __all__ = ["OutlierDetector"]
 
--- a/medlarhollow/steering/pauses.py
+++ b/medlarhollow/steering/servers/pauses.py
@@ -9,7 +9,7 @@
 
 import attrs
 
-from ..membership import is_other_process
+from ...membership import is_other_process
 
 __all__ = ["ServerPauses"]
 
--- a/medlarhollow/steering/pool_snapshot.py
+++ b/medlarhollow/steering/servers/pool_snapshot.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from .rendezvous import RendezvousRanking
+from ..placement.rendezvous import RendezvousRanking
 
 __all__ = ["PoolSnapshot"]
 
--- a/medlarhollow/steering/slot_tracker.py
+++ b/medlarhollow/steering/servers/slot_tracker.py
@@ -6,19 +6,19 @@
 
 import attrs
 
-from .assignment import AttemptResult
+from ..assignment import AttemptResult
+from ..placement.placement import is_allowed
+from ..placement.rendezvous import RendezvousRanking
+from ..placement.server_selection import effective_slots
+from ..placement.server_selection import LazyCandidates
+from ..placement.server_selection import make_candidate
+from ..regions.region_balancing import count_region_slots
+from ..regions.region_balancing import RegionBalancer
 from .cold_servers import ColdServerPacer
 from .outlier_detection import OutlierDetector
 from .pauses import ServerPauses
-from .placement import is_allowed
 from .pool_snapshot import PoolSnapshot
-from .region_balancing import count_region_slots
-from .region_balancing import RegionBalancer
-from .rendezvous import RendezvousRanking
 from .reported_load import ServerLoadReports
-from .server_selection import effective_slots
-from .server_selection import LazyCandidates
-from .server_selection import make_candidate
 
 __all__ = ["SlotTracker"]
 
--- a/medlarhollow/steering/tests/test_block_table.py
+++ b/medlarhollow/steering/tests/test_block_table.py
@@ -4,7 +4,7 @@
 from hypothesis import strategies as st
 import pytest
 
-from medlarhollow.steering.block_table import BlockTable
+from medlarhollow.steering.regions.block_table import BlockTable
 
 PREFIXES = st.builds(
     lambda value, length: ipaddress.ip_network((value, length), strict=False),
--- a/medlarhollow/steering/tests/test_caller_regions.py
+++ b/medlarhollow/steering/tests/test_caller_regions.py
@@ -5,13 +5,13 @@
 from medlarhollow.limits.tests.support import make_state
 from medlarhollow.messages.records import ClientBlock
 from medlarhollow.messages.records import PutClientBlocks
-from medlarhollow.steering.caller_regions import CallerRegions
+from medlarhollow.steering.regions.caller_regions import CallerRegions
 
 
 async def test_table_follows_changes_of_blocks(monkeypatch):
     """The table must include added blocks and omit removed ones."""
     monkeypatch.setattr(
-        "medlarhollow.steering.caller_regions._POLL_INTERVAL_S", 0.01
+        "medlarhollow.steering.regions.caller_regions._POLL_INTERVAL_S", 0.01
     )
     state = make_state()
     regions = CallerRegions(FakeStateCache(state))
--- a/medlarhollow/steering/tests/test_cold_servers.py
+++ b/medlarhollow/steering/tests/test_cold_servers.py
@@ -18,7 +18,7 @@
 from medlarhollow.messages.records import StartEvacuation
 from medlarhollow.messages.records import Vm
 from medlarhollow.steering import AttemptResult
-from medlarhollow.steering.slot_tracker import SlotTracker
+from medlarhollow.steering.servers.slot_tracker import SlotTracker
 
 VMS = 20
 RATE_PER_S = 6.1
--- a/medlarhollow/steering/tests/test_credit.py
+++ b/medlarhollow/steering/tests/test_credit.py
@@ -15,9 +15,9 @@
 from medlarhollow.messages.records import RegionWeight
 from medlarhollow.messages.records import Shift
 from medlarhollow.messages.records import Vm
-from medlarhollow.steering.credit import CreditLedger
-from medlarhollow.steering.credit import RemoteCredit
-from medlarhollow.steering.spill import SpillCoordinator
+from medlarhollow.steering.regions.credit import CreditLedger
+from medlarhollow.steering.regions.credit import RemoteCredit
+from medlarhollow.steering.regions.spill import SpillCoordinator
 
 LEASE_S = 2.0
 NO_EXCLUSIONS = frozenset()
--- a/medlarhollow/steering/tests/test_object_history.py
+++ b/medlarhollow/steering/tests/test_object_history.py
@@ -3,9 +3,9 @@
 import attrs
 import pytest
 
-from medlarhollow.steering import object_history
-from medlarhollow.steering.object_history import ObjectHistory
-from medlarhollow.steering.placement import list_object_servers
+from medlarhollow.steering.placement import object_history
+from medlarhollow.steering.placement.object_history import ObjectHistory
+from medlarhollow.steering.placement.placement import list_object_servers
 
 from .test_placement import make_pool
 from .test_placement import make_slot_request
--- a/medlarhollow/steering/tests/test_object_queueing.py
+++ b/medlarhollow/steering/tests/test_object_queueing.py
@@ -12,7 +12,7 @@
 from medlarhollow.messages.records import Service
 from medlarhollow.steering import AttemptResult
 from medlarhollow.steering import Dispatcher
-from medlarhollow.steering.slot_tracker import SlotTracker
+from medlarhollow.steering.servers.slot_tracker import SlotTracker
 
 from .conftest import EntryVm
 from .conftest import make_slot_request
--- a/medlarhollow/steering/tests/test_pauses.py
+++ b/medlarhollow/steering/tests/test_pauses.py
@@ -8,7 +8,7 @@
 from medlarhollow.messages.records import BackendServer
 from medlarhollow.messages.records import ErrorKind
 from medlarhollow.steering import AttemptResult
-from medlarhollow.steering.pauses import ServerPauses
+from medlarhollow.steering.servers.pauses import ServerPauses
 
 SERVER = BackendServer("s1", service="plots", started_at_ms=1)
 
--- a/medlarhollow/steering/tests/test_placement.py
+++ b/medlarhollow/steering/tests/test_placement.py
@@ -16,14 +16,14 @@
 from medlarhollow.messages.records import Service
 from medlarhollow.steering import ServerLoad
 from medlarhollow.steering import SlotRequest
-from medlarhollow.steering.cold_servers import ColdServerPacer
-from medlarhollow.steering.placement import Placement
-from medlarhollow.steering.region_balancing import RegionBalancer
-from medlarhollow.steering.rendezvous import RendezvousRanking
-from medlarhollow.steering.reported_load import ServerLoadReports
-from medlarhollow.steering.server_selection import Candidate
-from medlarhollow.steering.server_selection import LazyCandidates
-from medlarhollow.steering.server_selection import make_candidate
+from medlarhollow.steering.placement.placement import Placement
+from medlarhollow.steering.placement.rendezvous import RendezvousRanking
+from medlarhollow.steering.placement.server_selection import Candidate
+from medlarhollow.steering.placement.server_selection import LazyCandidates
+from medlarhollow.steering.placement.server_selection import make_candidate
+from medlarhollow.steering.regions.region_balancing import RegionBalancer
+from medlarhollow.steering.servers.cold_servers import ColdServerPacer
+from medlarhollow.steering.servers.reported_load import ServerLoadReports
 
 OBJECTS = [f"/plots/ {number}" for number in range(2000)]
 
--- a/medlarhollow/steering/tests/test_queue.py
+++ b/medlarhollow/steering/tests/test_queue.py
@@ -7,7 +7,7 @@
 import pytest
 
 from medlarhollow.messages.records import Priority
-from medlarhollow.steering.queue import FairQueue
+from medlarhollow.steering.queueing.queue import FairQueue
 
 # Ranks of requests of accounts with the same priority.
 URGENT, ORDINARY, PATIENT = (
--- a/medlarhollow/steering/tests/test_refusals.py
+++ b/medlarhollow/steering/tests/test_refusals.py
@@ -9,7 +9,7 @@
 from medlarhollow.messages.records import Evacuation
 from medlarhollow.steering import AttemptResult
 from medlarhollow.steering import ServerLoad
-from medlarhollow.steering.slot_tracker import SlotTracker
+from medlarhollow.steering.servers.slot_tracker import SlotTracker
 
 
 @pytest.fixture
--- a/medlarhollow/steering/tests/test_region_balancing.py
+++ b/medlarhollow/steering/tests/test_region_balancing.py
@@ -4,8 +4,8 @@
 
 from medlarhollow.limits.tests.support import make_settings
 from medlarhollow.messages.records import BackendServer
-from medlarhollow.steering.region_balancing import RegionBalancer
-from medlarhollow.steering.rendezvous import RendezvousRanking
+from medlarhollow.steering.placement.rendezvous import RendezvousRanking
+from medlarhollow.steering.regions.region_balancing import RegionBalancer
 
 OBJECTS = [f"/plots/ {number}" for number in range(400)]
 POOL = ("plots", "1")
--- a/medlarhollow/steering/tests/test_server_selection.py
+++ b/medlarhollow/steering/tests/test_server_selection.py
@@ -9,11 +9,11 @@
 from medlarhollow.membership.directory import ServerView
 from medlarhollow.messages.records import BackendServer
 from medlarhollow.steering import AttemptResult
-from medlarhollow.steering.outlier_detection import OutlierDetector
-from medlarhollow.steering.server_selection import choose_server
-from medlarhollow.steering.server_selection import effective_slots
-from medlarhollow.steering.server_selection import make_candidate
-from medlarhollow.steering.server_selection import score_candidate
+from medlarhollow.steering.placement.server_selection import choose_server
+from medlarhollow.steering.placement.server_selection import effective_slots
+from medlarhollow.steering.placement.server_selection import make_candidate
+from medlarhollow.steering.placement.server_selection import score_candidate
+from medlarhollow.steering.servers.outlier_detection import OutlierDetector
 
 NOW = 1000.0
 
