--- a/medlarhollow/messages/records.py
+++ b/medlarhollow/messages/records.py
@@ -10,6 +10,7 @@
 __all__ = [
     "AcceptedConfiguration",
     "Account",
+    "AcquireUsageHolder",
     "ActivatePreset",
     "Allocator",
     "AppendRequest",
@@ -30,6 +31,7 @@
     "Commit",
     "CompleteClaim",
     "Configuration",
+    "ConfirmUsage",
     "CreditRequest",
     "CreditResponse",
     "DeleteAccount",
@@ -38,6 +40,7 @@
     "DeleteService",
     "DemandSample",
     "Destination",
+    "Division",
     "EndEvacuation",
     "EntryKind",
     "ErrorKind",
@@ -68,6 +71,7 @@
     "PutPreset",
     "PutRoute",
     "PutService",
+    "RegionSteps",
     "RegionWeight",
     "ReleaseClaim",
     "Replica",
@@ -79,10 +83,12 @@
     "Route",
     "Service",
     "SetAllocator",
+    "SetDivision",
     "SetReplicasRequest",
     "SetServiceVersion",
     "SetShares",
     "SetVm",
+    "SettleUsage",
     "Share",
     "Shift",
     "SnapshotRequest",
@@ -99,12 +105,17 @@
     "TokenRequests",
     "TokenResponse",
     "TokenResponses",
+    "UsageCount",
+    "UsageHolder",
+    "UsageSample",
+    "UsageWindow",
     "VersionSample",
     "Vm",
     "VmReport",
     "VmState",
     "VoteRequest",
     "VoteResponse",
+    "WaitSample",
 ]
 
 
@@ -395,6 +406,50 @@
     is_confirmed: bool = False
 
 
+@attrs.frozen
+class RegionSteps:
+    """Steps, of a fixed total, of the objects that a region's servers get."""
+
+    region: str = ""
+    steps: int = 0
+
+
+@attrs.frozen
+class Division:
+    """Division of the objects that the callers of a region request from one version of a service."""
+
+    caller_region: str = ""
+    service: str = ""
+    version: str = ""
+    steps: "tuple[RegionSteps, ...]" = ()
+
+
+@attrs.frozen
+class UsageHolder:
+    """Replica that sends the usage reports."""
+
+    vm: str = ""
+    incarnation: str = ""
+    token: int = 0
+
+
+@attrs.frozen
+class UsageCount:
+    """Record of UsageCount."""
+
+    account: str = ""
+    requests: int = 0
+
+
+@attrs.frozen
+class UsageWindow:
+    """Requests that backend servers began to run in one window."""
+
+    window: int = 0
+    counts: "tuple[UsageCount, ...]" = ()
+    missing_vms: "tuple[str, ...]" = ()
+
+
 @attrs.frozen
 class Header:
     """Record of Header."""
@@ -606,6 +661,37 @@
     version: str = ""
 
 
+@attrs.frozen
+class SetDivision:
+    """Record of SetDivision."""
+
+    division: "Division | None" = None
+
+
+@attrs.frozen
+class AcquireUsageHolder:
+    """Usage reports, stored only by the control replicas."""
+
+    vm: str = ""
+    incarnation: str = ""
+
+
+@attrs.frozen
+class SettleUsage:
+    """Fixes the counts of a window before they are sent for the first time."""
+
+    window: "UsageWindow | None" = None
+    token: int = 0
+
+
+@attrs.frozen
+class ConfirmUsage:
+    """Records that the receiver has accepted the report of a window."""
+
+    window: int = 0
+    token: int = 0
+
+
 @attrs.frozen
 class Claim:
     """Changes by entry VMs, stored only by the control replicas."""
@@ -643,7 +729,7 @@
     base_revision: int = 0
     author: str = ""
     next_revision: int = 0
-    body: "PutAccount | DeleteAccount | IssueKey | RevokeKey | PutService | DeleteService | PutRoute | DeleteRoute | PutPreset | DeletePreset | ActivatePreset | StartMove | RollBackMove | PutClientBlocks | PutLink | PutConfiguration | StartEvacuation | EndEvacuation | SetVm | StepShift | StepMove | FinishMove | SetShares | SetAllocator | SetServiceVersion | Claim | CompleteClaim | ReleaseClaim | None" = None
+    body: "PutAccount | DeleteAccount | IssueKey | RevokeKey | PutService | DeleteService | PutRoute | DeleteRoute | PutPreset | DeletePreset | ActivatePreset | StartMove | RollBackMove | PutClientBlocks | PutLink | PutConfiguration | StartEvacuation | EndEvacuation | SetVm | StepShift | StepMove | FinishMove | SetShares | SetAllocator | SetServiceVersion | SetDivision | AcquireUsageHolder | SettleUsage | ConfirmUsage | Claim | CompleteClaim | ReleaseClaim | None" = None
 
 
 @attrs.frozen
@@ -712,10 +798,15 @@
     ended_evacuations: "tuple[Evacuation, ...]" = ()
     divided_accounts: "tuple[str, ...]" = ()
     departed_vms: "tuple[str, ...]" = ()
+    divisions: "tuple[Division, ...]" = ()
     requests: "tuple[RequestRecord, ...]" = ()
     claims: "tuple[ClaimRecord, ...]" = ()
     orders: "tuple[OrderRecord, ...]" = ()
     document: bytes = b""
+    usage_holder: "UsageHolder | None" = None
+    usage_windows: "tuple[UsageWindow, ...]" = ()
+    usage_settled: int = 0
+    usage_confirmed: int = 0
     time_s: float = 0.0
 
 
@@ -956,6 +1047,30 @@
     unmet_per_s: float = 0.0
 
 
+@attrs.frozen
+class WaitSample:
+    """Requests at the servers of one region since the previous request."""
+
+    caller_region: str = ""
+    service: str = ""
+    version: str = ""
+    server_region: str = ""
+    requests: int = 0
+    wait_s: float = 0.0
+    busy_s: float = 0.0
+
+
+@attrs.frozen
+class UsageSample:
+    """Requests that servers began to run in one window, as one entry VM counted them."""
+
+    vm: str = ""
+    incarnation: str = ""
+    window: int = 0
+    counts: "tuple[UsageCount, ...]" = ()
+    complete: bool = False
+
+
 @attrs.frozen
 class VmReport:
     """Status of a VM for the roster and the overdue report."""
@@ -965,6 +1080,7 @@
     freshness_age_s: float = 0.0
     share_epoch: int = 0
     report_age_s: float = 0.0
+    wall_time_s: float = 0.0
 
 
 @attrs.frozen
@@ -978,6 +1094,8 @@
     demands: "tuple[DemandSample, ...]" = ()
     sequence: int = 0
     immediate: bool = False
+    usage: "tuple[UsageSample, ...]" = ()
+    waits: "tuple[WaitSample, ...]" = ()
 
 
 @attrs.frozen
@@ -991,6 +1109,7 @@
     commits: "tuple[Commit, ...]" = ()
     failure: "Failure | None" = None
     held_s: float = 0.0
+    fleet_time_s: float = 0.0
 
 
 @attrs.frozen
--- a/medlarhollow/settings/generated.py
+++ b/medlarhollow/settings/generated.py
@@ -18,6 +18,7 @@
     "Settings",
     "SpillSettings",
     "TelemetrySettings",
+    "UsageSettings",
     "VmSettings",
 ]
 
@@ -95,6 +96,7 @@
     claim_timeout_s: float = 3.0
     retry_after_s: float = 1.0
     silent_part: float = 0.5
+    hedge_limit: float = 0.0
     slow_answer_s: float = 1.0
 
 
@@ -112,6 +114,8 @@
     open_announcements: bool = False
     remote_weight: float = 0.1
     shift_per_s: float = 0.05
+    queue_order: str = "deadline"
+    division: str = "local"
 
 
 @attrs.frozen(kw_only=True)
@@ -133,6 +137,17 @@
     link_mbit_per_s: float = 4000.0
 
 
+@attrs.frozen(kw_only=True)
+class UsageSettings:
+    """Reports of the requests of each client account to a receiver outside the fleet."""
+
+    receiver: str = ""
+    window_s: float = 5.0
+    due_s: float = 10.0
+    lease_s: float = 3.0
+    rate_per_s: float = 50.0
+
+
 @attrs.frozen(kw_only=True)
 class AdminSettings:
     """Administration API of a control replica."""
@@ -167,6 +182,7 @@
     backends: BackendsSettings
     limits: LimitsSettings
     spill: SpillSettings
+    usage: UsageSettings
     admin: AdminSettings
     telemetry: TelemetrySettings
 
@@ -511,6 +527,13 @@
                 highest=1.0,
                 help="Fraction of the remaining time that an unresponsive backend server may use before an idempotent request is sent to another one; 1 to wait for it.",
             ),
+            Option(
+                name="hedge_limit",
+                type="float",
+                lowest=0.0,
+                highest=1.0,
+                help="Part of the requests of a service that may get a second attempt while the first one still runs, on idempotent routes; 0 for none. Hedged attempts also spend the retry budget.",
+            ),
             Option(
                 name="slow_answer_s",
                 type="float",
@@ -590,6 +613,18 @@
                 highest=1.0,
                 help="Fraction of a VM's requests that may shift to servers of another region per second, with scope = fleet; 0 for none.",
             ),
+            Option(
+                name="queue_order",
+                type="choice",
+                allowed=("deadline", "objective"),
+                help="Order of queued requests of one rank and account: by arrival, or those first that can still be answered within the objective of their route.",
+            ),
+            Option(
+                name="division",
+                type="choice",
+                allowed=("local", "fleet"),
+                help="Who divides the objects over the servers of the regions, with scope = fleet: each VM by its own measurements, or the control leader for all VMs of a region.",
+            ),
         ),
     ),
     "limits": (
@@ -651,6 +686,44 @@
             ),
         ),
     ),
+    "usage": (
+        UsageSettings,
+        (
+            Option(
+                name="receiver",
+                type="str",
+                help="Address of the receiver; empty for no reports.",
+            ),
+            Option(
+                name="window_s",
+                type="float",
+                lowest=0.1,
+                highest=86400.0,
+                help="Length of the windows; window k begins k times this after the start of 1970.",
+            ),
+            Option(
+                name="due_s",
+                type="float",
+                lowest=0.5,
+                highest=86400.0,
+                help="Time after the end of a window at which its report is due.",
+            ),
+            Option(
+                name="lease_s",
+                type="float",
+                lowest=0.0,
+                highest=60.0,
+                help="Time for which a new sender of reports waits, so that two senders never act by turns within it.",
+            ),
+            Option(
+                name="rate_per_s",
+                type="float",
+                lowest=0.01,
+                highest=100000.0,
+                help="Calls that the receiver accepts from all VMs together.",
+            ),
+        ),
+    ),
     "admin": (
         AdminSettings,
         (
