Read load reports as far as they are known

Cause: a report with a fourth figure was dropped as malformed, with a line in the log for each response, so the loads of all servers that share their machines were lost. A report of thousands of digits ended its request with a ValueError.

Change: values beyond the known ones are ignored; the fourth, the time that work takes on the machine in percent of the usual, is kept as slowness.

Result: the new cases of test_dialect fail before and pass now.

--- a/medlarhollow/entry/dialect.py
+++ b/medlarhollow/entry/dialect.py
@@ -1,5 +1,7 @@
 """Names of the headers that callers and backend servers use."""
 
+import re
+
 import attrs
 from result import Ok
 
@@ -12,6 +14,10 @@
 __all__ = ["Dialect", "read_key", "read_load"]
 
 _LOAD_FIELDS = 3
+# Far more digits than any count has; Python refuses to convert thousands.
+_NUMBER = re.compile("[0-9]{1,9}")
+# Value of the fourth field of a load report at the usual speed.
+_USUAL_SLOWNESS = 100
 
 
 @attrs.frozen
@@ -40,7 +46,8 @@
         Header that each genuine success response of a backend server has.
     load : str
         Header with a backend server's running and waiting requests and its
-        slots, separated by commas.
+        slots, separated by commas; a fourth value, if any, is the time that
+        work takes on its machine, in percent of the usual time.
     leaving : str
         Header with the value 1 in each response of a backend server that is
         leaving.
@@ -112,16 +119,31 @@
     -------
     result.Result
         ``Ok(ServerLoad)``, ``Ok(None)`` without a report, or
-        ``BACKEND_FAILED`` if the report is malformed.
+        ``BACKEND_FAILED`` if the report is malformed. Values beyond the known
+        ones are ignored.
     """
     text = headers.get(dialect.load) if dialect.load else None
     if text is None:
         return Ok(None)
-    parts = text.split(",")
-    if len(parts) != _LOAD_FIELDS or not all(
-        part.strip().isdecimal() for part in parts
-    ):
+    parts = [part.strip() for part in text.split(",")]
+    known = parts[:_LOAD_FIELDS]
+    if len(known) < _LOAD_FIELDS or not all(map(_is_number, known)):
         return fail(
             ErrorKind.BACKEND_FAILED, f"malformed load report {text!r}"
         )
-    return Ok(ServerLoad(*map(int, parts)))
+    return Ok(ServerLoad(*map(int, known), _read_slowness(parts)))
+
+
+def _is_number(text):
+    return _NUMBER.fullmatch(text) is not None
+
+
+def _read_slowness(parts):
+    """Return the slowness of a report, 1 if it has none that is known.
+
+    Later versions of servers may add values of any form, which must not
+    invalidate those that are known.
+    """
+    if len(parts) <= _LOAD_FIELDS or not _is_number(parts[_LOAD_FIELDS]):
+        return 1.0
+    return max(1, int(parts[_LOAD_FIELDS])) / _USUAL_SLOWNESS
--- a/medlarhollow/entry/tests/test_dialect.py
+++ b/medlarhollow/entry/tests/test_dialect.py
@@ -8,6 +8,8 @@
 import pytest
 
 from medlarhollow.entry import Dialect
+from medlarhollow.entry.dialect import read_load
+from medlarhollow.messages.records import ErrorKind
 from medlarhollow.steering import ServerLoad
 
 from .fakes import EntryHarness
@@ -115,6 +117,31 @@
     assert loads == [ServerLoad(3, 1, 8)]
 
 
+@pytest.mark.parametrize(
+    ("text", "load"),
+    [
+        ("3,1,8", ServerLoad(3, 1, 8)),
+        ("3, 1, 8, 250", ServerLoad(3, 1, 8, 2.5)),
+        ("3,1,8,0", ServerLoad(3, 1, 8, 0.01)),
+        ("3,1,8,fast", ServerLoad(3, 1, 8)),
+        ("3,1,8,,7", ServerLoad(3, 1, 8)),
+        ("3,1,8,90,idle", ServerLoad(3, 1, 8, 0.9)),
+    ],
+)
+def test_load_report_is_read_as_far_as_it_is_known(text, load):
+    """Guards servers that report more: their loads must not be lost."""
+    assert read_load({"x-load": text}, DIALECT).ok_value == load
+
+
+@pytest.mark.parametrize(
+    "text", ["", "3,1", "3,,8", "3,1,-8", "3,1,\u0668", f"{'9' * 5000},1,8"]
+)
+def test_malformed_load_report_is_a_failure(text):
+    """Guards against reports that end the request they came with."""
+    result = read_load({"x-load": text}, DIALECT)
+    assert result.err_value.kind is ErrorKind.BACKEND_FAILED
+
+
 async def reset_without_length(request, reader, writer):
     writer.write(b"HTTP/1.1 200 OK\r\nX-Seal: 1\r\n\r\npart of")
     await writer.drain()
--- a/medlarhollow/steering/servers/reported_load.py
+++ b/medlarhollow/steering/servers/reported_load.py
@@ -21,11 +21,15 @@
         Requests in the queue of the server.
     slots : int
         Maximum number of concurrent requests.
+    slowness : float
+        Time that work takes on the machine of the server at present, relative
+        to the usual time.
     """
 
     running: int
     waiting: int
     slots: int
+    slowness: float = 1.0
 
 
 @attrs.frozen
