Judge the status and fields of a response where its head is read

Cause: a status that is none (000, 099, 600, 999), or a field with a control character, was taken for an answer. Writing it failed after that, so the caller's connection was closed without a byte, and the requests behind it on the connection went along. A final 101 was passed on as it was.

Ruled out: 0, 20, 2000 and +20, which the client library refuses; odd reason phrases, trailers, contradicting lengths and codings, 204 and 304 with a body, which were and are handled (tests).

Change: a final status is from 200 to 599 and each field is one that HTTP permits; any other head is no answer: the connection is not used again, an idempotent request is sent elsewhere, the outcome is unknown otherwise.

--- a/medlarhollow/entry/response_head.py
+++ b/medlarhollow/entry/response_head.py
@@ -1,6 +1,7 @@
 """What the head of a backend server's response says."""
 
 import logging
+import re
 
 from .. import clock
 from ..requests import Answered
@@ -16,10 +17,22 @@
 _LOG = logging.getLogger(__name__)
 _MISDIRECTED = 421
 _SUCCESSES = range(200, 300)
+# The client library passes on any three digits. A final 1xx would be an answer
+# to an upgrade, which is never requested.
+_FINAL_STATUSES = range(200, 600)
+# Fields as RFC 9110 permits them; the HTTP server refuses to write others.
+_FIELD_NAME = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
+_FORBIDDEN_IN_VALUE = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
 
 
 def classify_response(response, slot, dialect, request_id):
-    """Return the outcome of an attempt from its response head."""
+    """Return the outcome of an attempt from its response head.
+
+    A head that cannot be passed on is no answer, whatever else it says.
+    """
+    defect = _find_defect(response)
+    if defect:
+        return Unanswered(f"{slot.address} responded with {defect}")
     headers = response.headers
     if dialect.echoes_request_id and not slot.remote:
         echoed = headers.get(REQUEST_ID_HEADER, request_id)
@@ -45,6 +58,18 @@
     return Answered(response.status)
 
 
+def _find_defect(response):
+    """Return what makes a head invalid, or an empty string."""
+    if response.status not in _FINAL_STATUSES:
+        return f"the status {response.status:03d}, which is none"
+    for name, value in response.raw_headers:
+        if not _FIELD_NAME.fullmatch(name):
+            return f"the field name {name!r}"
+        if _FORBIDDEN_IN_VALUE.search(value):
+            return f"control characters in the field {name.decode()!r}"
+    return ""
+
+
 def report_load(vm, response, slot):
     """Pass the load report in a response to the dispatcher."""
     load = read_load(response.headers, vm.dialect)
