Serve queued requests by their objective where the settings say so

Cause: queues, rejections and expected waits knew the deadline only.

Change: requests that can still be answered within the objective of their route start before the others of their rank and account; one start in ten is of a late one. A request that would miss its deadline is rejected on arrival or when it becomes late, with the expected wait as the time to return. Typical answer times are kept by route and kind of run. Off by default.

--- a/medlarhollow/entry/admission.py
+++ b/medlarhollow/entry/admission.py
@@ -1,5 +1,6 @@
 """Decide whether a caller's request is admitted."""
 
+import math
 import random
 import re
 import uuid
@@ -126,7 +127,9 @@
     if timeout.is_err():
         return timeout
     admission = Admission(
-        _make_slot_request(vm, caller, route.ok_value, now + timeout.ok_value),
+        _make_slot_request(
+            vm, caller, route.ok_value, now, now + timeout.ok_value
+        ),
         _choose_request_id(values[REQUEST_ID_HEADER], vm.dialect),
         idempotent=route.ok_value.idempotent,
     )
@@ -295,7 +298,7 @@
     )
 
 
-def _make_slot_request(vm, caller, route, deadline_at):
+def _make_slot_request(vm, caller, route, now, deadline_at):
     """Return the slot request by which a request is steered."""
     split_point = random.random()
     if route.split:
@@ -312,6 +315,7 @@
         split_point,
         affinity=affinity and f"{route.path_prefix} {affinity}",
         home_regions=frozenset(route.home_regions),
+        objective_at=min(deadline_at, now + (route.objective_s or math.inf)),
     )
 
 
--- a/medlarhollow/steering/assignment.py
+++ b/medlarhollow/steering/assignment.py
@@ -54,6 +54,9 @@
         Regions whose servers may serve the request; empty for all.
     account_priority : Priority
         Priority of the account, which goes before that of the route.
+    objective_at : float
+        Monotonic time in seconds until which a response is worth most; the
+        deadline if the route has no objective.
     """
 
     route: Route
@@ -65,6 +68,9 @@
     affinity: str = ""
     home_regions: frozenset = frozenset()
     account_priority: Priority = Priority.ORDINARY
+    objective_at: float = attrs.field(
+        default=attrs.Factory(lambda self: self.deadline_at, takes_self=True)
+    )
 
     @property
     def rank(self):
@@ -98,6 +104,8 @@
         Seconds until the lease ends at this VM.
     reason : str
         Why an object is requested from another server than before.
+    path_prefix : str
+        Route of the request; empty if `remote`.
     """
 
     server: BackendServer
@@ -109,9 +117,10 @@
     record_age_s: float = 0.0
     lease_left_s: float = 0.0
     reason: str = ""
+    path_prefix: str = ""
 
 
-def assign_candidate(candidate, version, wait_s, now, reason=""):
+def assign_candidate(candidate, version, request, wait_s, now, reason=""):
     """Return the assignment of a candidate that was selected.
 
     Parameters
@@ -120,6 +129,8 @@
         The server.
     version : str
         Version of the service.
+    request : SlotRequest
+        The request.
     wait_s : float
         Seconds that the request waited for the slot.
     now : float
@@ -135,4 +146,5 @@
         record_age_s=now - candidate.view.load_at,
         lease_left_s=candidate.view.expires_at - now,
         reason=reason,
+        path_prefix=request.route.path_prefix,
     )
--- a/medlarhollow/steering/dispatcher.py
+++ b/medlarhollow/steering/dispatcher.py
@@ -19,6 +19,7 @@
 from .placement.placement import Placement
 from .queueing.pool import WaitingRequest
 from .queueing.pools import Pools
+from .queueing.refusals import Refusals
 from .regions.credit_requests import CreditRequests
 from .regions.spill import SpillCoordinator
 from .servers.local_load import LocalLoadSampler
@@ -63,6 +64,7 @@
         self._placement = Placement(settings, state_cache)
         self._history = ObjectHistory()
         self._slots = SlotTracker(settings, directory, state_cache)
+        self._refusals = Refusals(self._slots)
         self._is_fleet_wide = settings.backends.scope == "fleet"
         self._spill = SpillCoordinator(settings, state_cache, channels)
         self._credit_requests = CreditRequests(
@@ -112,20 +114,24 @@
             return Ok(assignment)
         candidates = self._candidates(pool, now)
         servers = identify_object_servers(candidates, request)
-        if not pool.must_wait(request, servers):
+        if not pool.must_wait(request, servers, now):
             assignment = self._assign(pool, request, candidates, now)
             if assignment is not None:
                 return Ok(assignment)
         if self._is_stopped:
             return pool.stopped()
         wait_until = request.deadline_at
-        resume_at = self._resume_at(pool, request, now)
+        resume_at = self._refusals.resume_at(pool, request, now)
         if resume_at is not None or not self._has_server(pool, request, now):
             if request.local_only or not self._may_spill():
-                return self._unavailable(pool, resume_at, now)
+                return self._refusals.refuse_unavailable(pool, resume_at, now)
             wait_until = min(wait_until, now + _CREDIT_WAIT_S)
-        elif self._would_miss_deadline(pool, request, servers, now):
-            return pool.deadline_unreachable()
+        else:
+            refused = self._refusals.refuse_hopeless(
+                pool, request, servers, now
+            )
+            if refused is not None:
+                return refused
         wait_until = min(wait_until, pool.latest_start_at(request))
         return await self._wait(
             pool, WaitingRequest(request, None, now, servers), wait_until, now
@@ -157,6 +163,14 @@
         if pool is None:
             return
         pool.in_flight = max(0, pool.in_flight - 1)
+        if result is AttemptResult.OK:
+            self._pools.answer_times.record(
+                server.service,
+                assignment.path_prefix,
+                not assignment.reason,
+                latency_s,
+                now,
+            )
         if result in (AttemptResult.OK, AttemptResult.ERROR):
             pool.record_latency(latency_s)
             self._slots.record_wait(assignment, now)
@@ -194,9 +208,11 @@
         if pool is None or self._may_spill():
             return
         for item in pool.list_waiting():
-            resume_at = self._resume_at(pool, item.request, now)
+            resume_at = self._refusals.resume_at(pool, item.request, now)
             if resume_at is not None:
-                failure = self._unavailable(pool, resume_at, now)
+                failure = self._refusals.refuse_unavailable(
+                    pool, resume_at, now
+                )
                 item.future.set_result(failure)
 
     def is_withdrawn(self, assignment, now):
@@ -278,7 +294,9 @@
             self._slots.acquire(chosen.view, now)
             pool.in_flight += 1
             reason = self._history.record(chosen, candidates, request)
-            return assign_candidate(chosen, pool.version, wait_s, now, reason)
+            return assign_candidate(
+                chosen, pool.version, request, wait_s, now, reason
+            )
         if request.local_only or self._is_fleet_wide:
             return None
         return self._spill.spend(pool, request, now)
@@ -296,36 +314,26 @@
             for server in self._slots.servers(pool.service, pool.version, now)
         )
 
-    def _resume_at(self, pool, request, now):
-        return self._slots.resume_at(pool.service, pool.version, request, now)
-
-    def _unavailable(self, pool, resume_at, now):
-        """Return the failure of a request without servers until a time."""
-        if resume_at is None:
-            return pool.no_backend()
-        # Callers that were rejected together must not return together.
-        spread = 1 + self._generator.random() / 2
-        return pool.paused((resume_at - now) * spread)
-
-    def _would_miss_deadline(self, pool, request, servers, now):
-        in_flight = {
-            server_id: self._slots.local_in_flight(server_id)
-            for server_id in servers
-        }
-        wait_s = pool.expected_wait_s(request, in_flight)
-        return now + wait_s >= pool.latest_start_at(request)
-
     async def _wait(self, pool, waiting, wait_until, now):
         request = waiting.request
         future = asyncio.get_running_loop().create_future()
         waiting.future = future
-        ticket, evicted = pool.push(waiting)
+        ticket, evicted = pool.push(waiting, now)
         if evicted is not None and not evicted.item.future.done():
             evicted.item.future.set_result(pool.overloaded())
         if ticket is None:
             return pool.overloaded()
         self._credit_requests.start(pool, now)
         try:
+            if now < ticket.late_at < wait_until:
+                await asyncio.wait({future}, timeout=ticket.late_at - now)
+                now = clock.monotonic()
+                if not future.done():
+                    refused = self._refusals.refuse_hopeless(
+                        pool, request, waiting.servers, now
+                    )
+                    if refused is not None:
+                        return refused
             async with asyncio.timeout(max(0.0, wait_until - now)):
                 return await future
         except TimeoutError:
@@ -380,7 +388,7 @@
                 )
                 return assigned[-1] is not None
 
-            ticket = pool.queue.pop(try_assign)
+            ticket = pool.queue.pop(try_assign, now)
             if ticket is None:
                 return
             ticket.item.future.set_result(Ok(assigned[-1]))
@@ -390,6 +398,9 @@
         if now >= self._next_eviction_at:
             self._next_eviction_at = now + _EVICTION_INTERVAL_S
             self._slots.evict_removed()
+            self._pools.answer_times.retain_services(
+                self._state_cache.state.services
+            )
         self._pools.evict_unused(now)
 
 
--- a/medlarhollow/steering/queueing/pool.py
+++ b/medlarhollow/steering/queueing/pool.py
@@ -1,12 +1,14 @@
 """Queue of requests for one version of a service."""
 
-import collections
-
 import attrs
 
 from ...errors import fail
 from ...messages.records import ErrorKind
+from ..servers.answer_times import AnswerTimes
+from .order import ByArrival
+from .order import find_late_at
 from .queue import FairQueue
+from .queue import LATE_INTERVAL
 from .queue import list_ranks_up_to
 
 __all__ = ["Pool", "WaitingRequest"]
@@ -49,27 +51,33 @@
         Service and version of its servers.
     limit : int
         Maximum number of queued requests.
+    order : ByArrival or ByObjective
+        Order of the queue within a rank and account.
+    answer_times : AnswerTimes or None
+        Recent times of answers, shared with other pools; None for own ones.
     """
 
-    def __init__(self, service, version, limit):
+    def __init__(self, service, version, limit, order=None, answer_times=None):
         self.service = service
         self.version = version
         self.queue = FairQueue(limit)
+        self._order = order or ByArrival()
+        self._answer_times = answer_times or AnswerTimes()
         self.in_flight = 0
         self.used_at = 0.0
         # Fraction of new requests that the preset sends to other regions,
         # decaying while there are none.
         self.remote_fraction = 0.0
         self._latency_s = None
-        # Waiting requests by server of their object and rank.
-        self._waiting = collections.Counter()
+        # Tickets of the waiting requests by server of their object.
+        self._waiting = {}
         # Waiting requests that any server may serve.
         self._waiting_for_any = 0
 
     @property
     def awaited_servers(self):
         """Frozenset of str : servers that queued objects wait for."""
-        return frozenset(server_id for server_id, _ in self._waiting)
+        return frozenset(self._waiting)
 
     @property
     def has_unbound_requests(self):
@@ -87,13 +95,36 @@
             self._latency_s = latency_s
         self._latency_s += (latency_s - self._latency_s) * _LATENCY_WEIGHT
 
-    def push(self, waiting):
+    def late_at(self, slot_request, now):
+        """Return the time after which a request cannot start and be in time.
+
+        Parameters
+        ----------
+        slot_request : SlotRequest
+            The request.
+        now : float
+            Monotonic time in seconds.
+
+        Returns
+        -------
+        float
+            Monotonic time in seconds; infinite if the order of the queue does
+            not depend on it.
+        """
+        answer_s = self._answer_times.typical_s(
+            self.service, slot_request.route.path_prefix, now
+        )
+        return find_late_at(self._order, slot_request, answer_s)
+
+    def push(self, waiting, now):
         """Append a request to the queue.
 
         Parameters
         ----------
         waiting : WaitingRequest
             The request.
+        now : float
+            Monotonic time in seconds.
 
         Returns
         -------
@@ -102,12 +133,15 @@
         """
         slot_request = waiting.request
         ticket, evicted = self.queue.push(
-            waiting, slot_request.rank, slot_request.account
+            waiting,
+            slot_request.rank,
+            slot_request.account,
+            self.late_at(slot_request, now),
         )
         if ticket is not None:
             self._waiting_for_any += not waiting.servers
             for server_id in waiting.servers:
-                self._waiting[server_id, slot_request.rank] += 1
+                self._waiting.setdefault(server_id, {})[ticket] = None
         return ticket, evicted
 
     def remove(self, ticket):
@@ -116,16 +150,16 @@
         waiting = ticket.item
         self._waiting_for_any -= not waiting.servers
         for server_id in waiting.servers:
-            key = (server_id, waiting.request.rank)
-            self._waiting[key] -= 1
-            if not self._waiting[key]:
-                del self._waiting[key]
+            tickets = self._waiting[server_id]
+            del tickets[ticket]
+            if not tickets:
+                del self._waiting[server_id]
 
     def list_waiting(self):
         """Return the queued requests that have no result yet."""
         return [item for item in self.queue.items() if not item.future.done()]
 
-    def must_wait(self, slot_request, servers):
+    def must_wait(self, slot_request, servers, now):
         """Return whether requests are queued ahead of a new one.
 
         Parameters
@@ -134,16 +168,18 @@
             The request.
         servers : iterable of str
             Servers of its object; empty if any server may serve it.
+        now : float
+            Monotonic time in seconds.
         """
         if not servers:
             return bool(len(self.queue))
         return all(
-            self._count_ahead_at(server_id, slot_request)
+            self._count_ahead_at(server_id, slot_request, now)
             for server_id in servers
         )
 
-    def expected_wait_s(self, slot_request, in_flight):
-        """Return the expected wait of a new request.
+    def expected_wait_s(self, slot_request, in_flight, now):
+        """Return the expected wait of a request.
 
         Parameters
         ----------
@@ -152,6 +188,8 @@
         in_flight : dict of str to int
             Requests of this VM at each server of its object; empty if any
             server may serve it.
+        now : float
+            Monotonic time in seconds.
 
         Returns
         -------
@@ -162,13 +200,22 @@
         Notes
         -----
         A request for an object counts only the requests that wait for the
-        servers of that object.
+        servers of that object. One that cannot be in time also waits for
+        those that can.
         """
         if self._latency_s is None:
             return 0.0
         if in_flight:
+            wait_s = self._latency_s * min(
+                self._count_ahead_at(server_id, slot_request, now)
+                / max(1, count)
+                for server_id, count in in_flight.items()
+            )
+            if now + wait_s < self.late_at(slot_request, now):
+                return wait_s
             return self._latency_s * min(
-                self._count_ahead_at(server_id, slot_request) / max(1, count)
+                self._count_ahead_of_late_at(server_id, slot_request, now)
+                / max(1, count)
                 for server_id, count in in_flight.items()
             )
         if not self.in_flight:
@@ -176,12 +223,27 @@
         ahead = self.queue.count_ahead(slot_request.rank, slot_request.account)
         return ahead * self._latency_s / self.in_flight
 
-    def _count_ahead_at(self, server_id, slot_request):
+    def _count_ahead_at(self, server_id, slot_request, now):
         """Return the number of requests ahead of a new one at a server."""
+        ranks = list_ranks_up_to(slot_request.rank)
         return sum(
-            self._waiting.get((server_id, rank), 0)
-            for rank in list_ranks_up_to(slot_request.rank)
+            ticket.late_at > now and ticket.priority in ranks
+            for ticket in self._waiting.get(server_id, ())
+        )
+
+    def _count_ahead_of_late_at(self, server_id, slot_request, now):
+        """Return the number of starts at a server before that of a late one.
+
+        While requests that can be in time wait, they get most starts.
+        """
+        ranks = list_ranks_up_to(slot_request.rank)
+        late = sum(
+            ticket.late_at <= now and ticket.priority in ranks
+            for ticket in self._waiting.get(server_id, ())
         )
+        if self._count_ahead_at(server_id, slot_request, now):
+            return (late + 1) * LATE_INTERVAL
+        return late
 
     def latest_start_at(self, slot_request):
         """Return the latest time at which a request can usefully start.
@@ -210,11 +272,19 @@
             ErrorKind.NO_BACKEND, f"no backend server of '{self.service}'"
         )
 
-    def deadline_unreachable(self):
-        """Return the failure of a request that cannot meet its deadline."""
+    def deadline_unreachable(self, retry_after_s=0.0):
+        """Return the failure of a request that cannot meet its deadline.
+
+        Parameters
+        ----------
+        retry_after_s : float
+            Time in seconds after which a retry is likely to succeed; 0 if
+            unknown.
+        """
         return fail(
             ErrorKind.OVERLOADED,
             f"'{self.service}' cannot serve the request before its deadline",
+            retry_after_s=retry_after_s,
         )
 
     def paused(self, retry_after_s):
--- a/medlarhollow/steering/queueing/pools.py
+++ b/medlarhollow/steering/queueing/pools.py
@@ -1,5 +1,7 @@
 """Pools by service and version."""
 
+from ..servers.answer_times import AnswerTimes
+from .order import make_order
 from .pool import Pool
 
 __all__ = ["Pools"]
@@ -17,7 +19,8 @@
     Parameters
     ----------
     settings : Settings
-        Section ``entry`` sets the maximum length of queues.
+        Section ``entry`` sets the maximum length of queues, ``backends``
+        their order.
     state_cache : FleetStateCache
         Provides the active versions of services.
     directory : Directory
@@ -28,11 +31,18 @@
 
     def __init__(self, settings, state_cache, directory, versions):
         self._settings = settings.entry
+        self._order = make_order(settings)
+        self._answer_times = AnswerTimes()
         self._state_cache = state_cache
         self._directory = directory
         self._versions = versions
         self._pools = {}
 
+    @property
+    def answer_times(self):
+        """AnswerTimes : recent times of answers of all pools."""
+        return self._answer_times
+
     def find(self, slot_request, now):
         """Return the pool that serves a request.
 
@@ -60,7 +70,9 @@
         key = (service, version)
         if key not in self._pools:
             limit = self._settings.queue_limit
-            self._pools[key] = Pool(service, version, limit)
+            self._pools[key] = Pool(
+                service, version, limit, self._order, self._answer_times
+            )
         pool = self._pools[key]
         pool.used_at = now
         return pool
--- a/medlarhollow/steering/queueing/queue.py
+++ b/medlarhollow/steering/queueing/queue.py
@@ -2,12 +2,19 @@
 
 import collections
 import itertools
+import math
 
 import attrs
 
 from ...messages.records import Priority
 
-__all__ = ["RANKS", "FairQueue", "Ticket", "list_ranks_up_to"]
+__all__ = [
+    "LATE_INTERVAL",
+    "RANKS",
+    "FairQueue",
+    "Ticket",
+    "list_ranks_up_to",
+]
 
 _PRIORITIES = (Priority.URGENT, Priority.ORDINARY, Priority.PATIENT)
 # Priorities of the account and of the route, highest rank first. That of the
@@ -16,6 +23,9 @@
 # One in this many dequeued requests is of a lower priority if any waits, so
 # that low priorities are delayed but do not starve.
 _LOWER_PRIORITY_INTERVAL = 10
+# One in this many starts of a rank is of a request that can no longer be in
+# time, while there are others, so that such requests do not starve.
+LATE_INTERVAL = 10
 # Requests of each account that are considered per dequeue: the first may be
 # blocked while a later one, for another server, is not.
 _HEADS_PER_ACCOUNT = 8
@@ -35,12 +45,16 @@
         Client account; empty on open routes.
     start_tag : float
         Start tag of start-time fair queueing.
+    late_at : float
+        Monotonic time in seconds after which the request, if it starts, is
+        answered too late to be worth most.
     """
 
     item: object
     priority: object
     account: str
     start_tag: float
+    late_at: float = math.inf
 
 
 class _PriorityClass:
@@ -52,11 +66,13 @@
         self.virtual_time = 0.0
         self.count = 0
         self.skipped = 0
+        # Requests that started in time since the last late one.
+        self.timely_starts = 0
 
-    def push(self, item, priority, account):
+    def push(self, item, priority, account, late_at):
         start = max(self.virtual_time, self.finish_tags.get(account, 0.0))
         self.finish_tags[account] = start + 1.0
-        ticket = Ticket(item, priority, account, start)
+        ticket = Ticket(item, priority, account, start, late_at)
         account_queue = self.account_queues.setdefault(
             account, collections.deque()
         )
@@ -64,16 +80,33 @@
         self.count += 1
         return ticket
 
-    def list_heads(self, depth):
-        """Return the first requests of each account, in fair order."""
-        tickets = [
-            ticket
-            for account_queue in self.account_queues.values()
-            for ticket in itertools.islice(account_queue, depth)
-        ]
-        return sorted(
-            tickets, key=lambda ticket: (ticket.start_tag, ticket.account)
-        )
+    def list_heads(self, depth, now):
+        """Return the first requests of each account, in fair order.
+
+        Those that are late come after the others, or before them if it is
+        their turn.
+        """
+        timely, late = [], []
+        for account_queue in self.account_queues.values():
+            for is_late, heads in ((False, timely), (True, late)):
+                kind = (
+                    ticket
+                    for ticket in account_queue
+                    if (ticket.late_at <= now) is is_late
+                )
+                heads += itertools.islice(kind, depth)
+        for heads in (timely, late):
+            heads.sort(key=lambda ticket: (ticket.start_tag, ticket.account))
+        if self.timely_starts >= LATE_INTERVAL - 1:
+            return late + timely
+        return timely + late
+
+    def record_start(self, ticket, now):
+        """Note that a request has started."""
+        if ticket.late_at <= now:
+            self.timely_starts = 0
+        else:
+            self.timely_starts += 1
 
     def remove(self, ticket):
         account_queue = self.account_queues[ticket.account]
@@ -105,7 +138,8 @@
     Within a priority, start-time fair queueing (Goyal, Vin and Cheng, 1996,
     "Start-time Fair Queuing: A Scheduling Algorithm for Integrated Services
     Packet Switching Networks"), each request with cost 1: an account that
-    floods the queue delays its own requests, not those of others.
+    floods the queue delays its own requests, not those of others. Requests
+    that can no longer be in time give way to the others of their rank.
     """
 
     def __init__(self, limit):
@@ -117,7 +151,7 @@
             priority_class.count for priority_class in self._classes.values()
         )
 
-    def push(self, item, priority, account):
+    def push(self, item, priority, account, late_at=math.inf):
         """Append a request, evicting a less important one if full.
 
         Parameters
@@ -128,6 +162,8 @@
             One of the ranks.
         account : str
             Client account.
+        late_at : float
+            Monotonic time in seconds after which it cannot be in time.
 
         Returns
         -------
@@ -141,9 +177,10 @@
             if evicted is None:
                 return None, None
             self.discard(evicted)
-        return self._classes[priority].push(item, priority, account), evicted
+        ticket = self._classes[priority].push(item, priority, account, late_at)
+        return ticket, evicted
 
-    def pop(self, accept):
+    def pop(self, accept, now=-math.inf):
         """Remove the next request that is accepted.
 
         Parameters
@@ -152,6 +189,8 @@
             Called with an item, returns whether it was accepted. The first
             requests of each account are tried, since each may wait for
             different servers.
+        now : float
+            Monotonic time in seconds.
 
         Returns
         -------
@@ -160,8 +199,10 @@
         """
         for priority in self._service_order():
             priority_class = self._classes[priority]
-            for ticket in priority_class.list_heads(_HEADS_PER_ACCOUNT):
+            heads = priority_class.list_heads(_HEADS_PER_ACCOUNT, now)
+            for ticket in heads:
                 if accept(ticket.item):
+                    priority_class.record_start(ticket, now)
                     priority_class.virtual_time = max(
                         priority_class.virtual_time, ticket.start_tag
                     )
