Move the granting of credit out of the dispatcher

Change: `CreditGrants` answers requests for credit; the dispatcher queues and assigns. Its answer times can be read, for decisions on further attempts.

--- a/medlarhollow/steering/dispatcher.py
+++ b/medlarhollow/steering/dispatcher.py
@@ -8,7 +8,6 @@
 
 from .. import clock
 from ..errors import fail
-from ..messages.records import CreditResponse
 from ..messages.records import ErrorKind
 from ..moves import VersionSelector
 from .assignment import assign_candidate
@@ -20,6 +19,7 @@
 from .queueing.pool import WaitingRequest
 from .queueing.pools import Pools
 from .queueing.refusals import Refusals
+from .regions.credit_grants import CreditGrants
 from .regions.credit_requests import CreditRequests
 from .regions.spill import SpillCoordinator
 from .servers.local_load import LocalLoadSampler
@@ -67,6 +67,9 @@
         self._refusals = Refusals(self._slots)
         self._is_fleet_wide = settings.backends.scope == "fleet"
         self._spill = SpillCoordinator(settings, state_cache, channels)
+        self._credit_grants = CreditGrants(
+            state_cache, self._pools, self._slots, self._spill
+        )
         self._credit_requests = CreditRequests(
             self._spill, self._may_spill, self._dispatch_waiting
         )
@@ -76,6 +79,11 @@
         self._is_stopped = False
         directory.subscribe(self._dispatch_all)
 
+    @property
+    def answer_times(self):
+        """AnswerTimes : recent times of answers by service and route."""
+        return self._pools.answer_times
+
     async def run(self):
         """Assign waiting requests and renew credit until cancelled."""
         try:
@@ -267,25 +275,7 @@
         CreditResponse
             The granted credit or the failure.
         """
-        service = self._state_cache.state.services.get(request.service)
-        if service is None:
-            return CreditResponse(
-                failure=fail(
-                    ErrorKind.NOT_FOUND, f"no service '{request.service}'"
-                ).err_value
-            )
-        pool_key = (service.name, service.version)
-        slots, in_flight = self._slots.headroom(*pool_key, now)
-        pool = self._pools.get(*pool_key)
-        queued = len(pool.queue) if pool else 0
-        return self._spill.grant(
-            request,
-            slots,
-            in_flight + queued,
-            self._slots.count_vms(now),
-            pool.latency_s if pool else None,
-            now,
-        )
+        return self._credit_grants.grant(request, now)
 
     def _assign(self, pool, request, candidates, now, wait_s=0.0):
         """Return a local slot, a slot on credit, or None."""
