Start no request that has less time left than its route takes

Cause: with the order by objective, the latest start was the deadline less half of the mean of all routes of the service.

A late request is only taken to wait behind ten others while more requests that can be in time wait than slots are in use: a short backlog near the capacity had one of 448 requests rejected.

--- a/medlarhollow/steering/dispatcher.py
+++ b/medlarhollow/steering/dispatcher.py
@@ -140,7 +140,7 @@
             )
             if refused is not None:
                 return refused
-        wait_until = min(wait_until, pool.latest_start_at(request))
+        wait_until = min(wait_until, pool.latest_start_at(request, now))
         return await self._wait(
             pool, WaitingRequest(request, None, now, servers), wait_until, now
         )
@@ -171,15 +171,10 @@
         if pool is None:
             return
         pool.in_flight = max(0, pool.in_flight - 1)
-        if result is AttemptResult.OK:
+        if result in (AttemptResult.OK, AttemptResult.ERROR):
             self._pools.answer_times.record(
-                server.service,
-                assignment.path_prefix,
-                not assignment.reason,
-                latency_s,
-                now,
+                assignment, result is AttemptResult.OK, latency_s, now
             )
-        if result in (AttemptResult.OK, AttemptResult.ERROR):
             pool.record_latency(latency_s)
             self._slots.record_wait(assignment, now)
         self._dispatch_waiting(pool, now)
--- a/medlarhollow/steering/queueing/order.py
+++ b/medlarhollow/steering/queueing/order.py
@@ -12,7 +12,17 @@
 
 import attrs
 
-__all__ = ["ByArrival", "ByObjective", "find_late_at", "make_order"]
+__all__ = [
+    "ByArrival",
+    "ByObjective",
+    "find_late_at",
+    "find_latest_start",
+    "make_order",
+]
+
+# Fast requests take about this fraction of the mean latency. A request with
+# less time left cannot meet its deadline.
+_MIN_LATENCY_FRACTION = 0.5
 
 
 @attrs.frozen
@@ -68,3 +78,38 @@
 @find_late_at.register
 def _before_objective(order: ByObjective, slot_request, answer_s):
     return slot_request.objective_at - answer_s
+
+
+@functools.singledispatch
+def find_latest_start(order, slot_request, mean_s, answer_s):
+    """Return the latest time at which a request can usefully start.
+
+    A request that cannot complete before its deadline would waste a slot.
+
+    Parameters
+    ----------
+    order : ByArrival or ByObjective
+        The order of the queue.
+    slot_request : SlotRequest
+        Provides the deadline.
+    mean_s : float
+        Mean seconds that a request of the pool occupies its slot.
+    answer_s : float
+        Typical seconds between the start and the response of the route.
+
+    Returns
+    -------
+    float
+        Monotonic time in seconds.
+    """
+    raise TypeError(f"not an order of a queue: {order!r}")
+
+
+@find_latest_start.register
+def _before_fast_run(order: ByArrival, slot_request, mean_s, answer_s):
+    return slot_request.deadline_at - mean_s * _MIN_LATENCY_FRACTION
+
+
+@find_latest_start.register
+def _before_typical_run(order: ByObjective, slot_request, mean_s, answer_s):
+    return slot_request.deadline_at - answer_s
--- a/medlarhollow/steering/queueing/pool.py
+++ b/medlarhollow/steering/queueing/pool.py
@@ -7,15 +7,13 @@
 from ..servers.answer_times import AnswerTimes
 from .order import ByArrival
 from .order import find_late_at
+from .order import find_latest_start
 from .queue import FairQueue
 from .queue import LATE_INTERVAL
 from .queue import list_ranks_up_to
 
 __all__ = ["Pool", "WaitingRequest"]
 
-# Fast requests take about this fraction of the mean latency. A request with
-# less time left cannot meet its deadline.
-_MIN_LATENCY_FRACTION = 0.5
 # Weight of a new sample in the moving average of the latency.
 _LATENCY_WEIGHT = 0.05
 
@@ -111,7 +109,7 @@
             Monotonic time in seconds; infinite if the order of the queue does
             not depend on it.
         """
-        answer_s = self._answer_times.typical_s(
+        answer_s = self._answer_times.fastest_kind_s(
             self.service, slot_request.route.path_prefix, now
         )
         return find_late_at(self._order, slot_request, answer_s)
@@ -214,7 +212,9 @@
             if now + wait_s < self.late_at(slot_request, now):
                 return wait_s
             return self._latency_s * min(
-                self._count_ahead_of_late_at(server_id, slot_request, now)
+                self._count_ahead_of_late_at(
+                    server_id, slot_request, max(1, count), now
+                )
                 / max(1, count)
                 for server_id, count in in_flight.items()
             )
@@ -231,29 +231,31 @@
             for ticket in self._waiting.get(server_id, ())
         )
 
-    def _count_ahead_of_late_at(self, server_id, slot_request, now):
+    def _count_ahead_of_late_at(self, server_id, slot_request, slots, now):
         """Return the number of starts at a server before that of a late one.
 
-        While requests that can be in time wait, they get most starts.
+        Requests that can be in time get most starts. If more of them wait
+        than slots are in use, they will not be gone soon.
         """
         ranks = list_ranks_up_to(slot_request.rank)
         late = sum(
             ticket.late_at <= now and ticket.priority in ranks
             for ticket in self._waiting.get(server_id, ())
         )
-        if self._count_ahead_at(server_id, slot_request, now):
+        timely = self._count_ahead_at(server_id, slot_request, now)
+        if timely > slots:
             return (late + 1) * LATE_INTERVAL
-        return late
+        return late + timely
 
-    def latest_start_at(self, slot_request):
+    def latest_start_at(self, slot_request, now):
         """Return the latest time at which a request can usefully start.
 
-        A request that cannot complete in time would waste a slot.
-
         Parameters
         ----------
         slot_request : SlotRequest
             Provides its deadline.
+        now : float
+            Monotonic time in seconds.
 
         Returns
         -------
@@ -262,8 +264,11 @@
         """
         if self._latency_s is None:
             return slot_request.deadline_at
-        return (
-            slot_request.deadline_at - self._latency_s * _MIN_LATENCY_FRACTION
+        answer_s = self._answer_times.typical_s(
+            self.service, slot_request.route.path_prefix, now
+        )
+        return find_latest_start(
+            self._order, slot_request, self._latency_s, answer_s
         )
 
     def no_backend(self):
--- a/medlarhollow/steering/queueing/refusals.py
+++ b/medlarhollow/steering/queueing/refusals.py
@@ -47,7 +47,7 @@
             for server_id in servers
         }
         wait_s = pool.expected_wait_s(request, in_flight, now)
-        if now + wait_s < pool.latest_start_at(request):
+        if now + wait_s < pool.latest_start_at(request, now):
             return None
         if math.isinf(pool.late_at(request, now)):
             return pool.deadline_unreachable()
--- a/medlarhollow/steering/servers/answer_times.py
+++ b/medlarhollow/steering/servers/answer_times.py
@@ -40,24 +40,32 @@
     def __init__(self):
         self._samples = {}
 
-    def record(self, service, path_prefix, is_repeated, answer_s, now):
-        """Record the time of one successful run.
+    def record(self, assignment, is_complete, answer_s, now):
+        """Record the time of one run.
 
         Parameters
         ----------
-        service, path_prefix : str
-            Service and route of the request.
-        is_repeated : bool
-            Whether the server served the requested object before, as far as
-            this VM knows.
+        assignment : Assignment
+            Service, route and kind of the run: the server served the object
+            before unless there was a reason to choose another one.
+        is_complete : bool
+            Whether the run succeeded. A failed one counts only if it took
+            longer than is typical: it may have been stopped at its deadline,
+            and leaving it out would make slow routes look fast.
         answer_s : float
             Seconds between sending the request and the response head.
         now : float
             Monotonic time in seconds.
         """
-        key = (service, path_prefix, is_repeated)
-        samples = self._samples.setdefault(key, _Samples())
-        samples.times.append((now, answer_s))
+        route = (assignment.server.service, assignment.path_prefix)
+        if not is_complete:
+            typical_s = self.typical_s(*route, now)
+            if not typical_s or answer_s <= typical_s:
+                return
+        is_repeated = not assignment.reason
+        for kind in (is_repeated, None):
+            samples = self._samples.setdefault((*route, kind), _Samples())
+            samples.times.append((now, answer_s))
 
     def quantile(self, service, path_prefix, is_repeated, fraction, now):
         """Return a quantile of the recent times of one kind of run.
@@ -66,8 +74,8 @@
         ----------
         service, path_prefix : str
             Service and route of the request.
-        is_repeated : bool
-            Kind of the run.
+        is_repeated : bool or None
+            Kind of the run; None for all runs.
         fraction : float
             Part of the runs that take no longer, from 0 to 1.
         now : float
@@ -91,25 +99,21 @@
         return samples.quantiles[fraction]
 
     def typical_s(self, service, path_prefix, now):
-        """Return the median of the recent runs, repeated ones if known.
+        """Return the median of all recent runs of a route in seconds.
 
-        Parameters
-        ----------
-        service, path_prefix : str
-            Service and route of the request.
-        now : float
-            Monotonic time in seconds.
+        It is 0 while nothing is known.
+        """
+        return self.quantile(service, path_prefix, None, 0.5, now) or 0.0
 
-        Returns
-        -------
-        float
-            Seconds; 0 while nothing is known.
+    def fastest_kind_s(self, service, path_prefix, now):
+        """Return the median of repeated runs, or of all if too few are known.
+
+        It is 0 while nothing is known.
         """
-        for is_repeated in (True, False):
-            median = self.quantile(service, path_prefix, is_repeated, 0.5, now)
-            if median is not None:
-                return median
-        return 0.0
+        median = self.quantile(service, path_prefix, True, 0.5, now)
+        if median is None:
+            return self.typical_s(service, path_prefix, now)
+        return median
 
     def retain_services(self, services):
         """Discard the samples of all services but the given ones."""
--- a/medlarhollow/steering/tests/test_queue_order.py
+++ b/medlarhollow/steering/tests/test_queue_order.py
@@ -13,8 +13,10 @@
 import pytest
 
 from medlarhollow.limits.tests.support import make_settings
+from medlarhollow.messages.records import BackendServer
 from medlarhollow.messages.records import Priority
 from medlarhollow.messages.records import Route
+from medlarhollow.steering import Assignment
 from medlarhollow.steering import SlotRequest
 from medlarhollow.steering.queueing.order import ByArrival
 from medlarhollow.steering.queueing.order import ByObjective
@@ -34,6 +36,12 @@
 ACCOUNTS = ("crew", "office", "nursery")
 
 
+def run(path_prefix="/plots", reason=""):
+    """Return the assignment of a run, the first of its object or not."""
+    server = BackendServer(server_id=SERVER, service="plots")
+    return Assignment(server, "1", reason=reason, path_prefix=path_prefix)
+
+
 @attrs.define
 class Arrival:
     """A request of the load and how it ended."""
@@ -87,7 +95,9 @@
         )
         self.tickets[id(arrival)] = ticket
         self.at(
-            self.pool.latest_start_at(arrival.request), self.expire, arrival
+            self.pool.latest_start_at(arrival.request, now),
+            self.expire,
+            arrival,
         )
         if ticket.late_at < arrival.request.deadline_at:
             self.at(max(now, ticket.late_at), self.recheck, arrival)
@@ -120,7 +130,7 @@
         in_time = now <= arrival.request.objective_at
         arrival.outcome = "in time" if in_time else "late"
         self.pool.record_latency(RUN_S)
-        self.times.record("plots", "/plots", True, now - started_at, now)
+        self.times.record(run(), True, now - started_at, now)
         while self.running < SLOTS:
             ticket = self.pool.queue.pop(lambda item: True, now)
             if ticket is None:
@@ -248,16 +258,34 @@
     """Guards the estimate against first runs, which take three times as
     long, and against figures that are no longer true."""
     times = AnswerTimes()
-    assert times.typical_s("plots", "/", 0.0) == 0.0
+    assert times.typical_s("plots", "/plots", 0.0) == 0.0
     for number in range(8):
-        times.record("plots", "/", False, 0.35, number / 10)
-    assert times.typical_s("plots", "/", 1.0) == 0.35
+        times.record(run(reason="first"), True, 0.35, number / 10)
+    assert times.fastest_kind_s("plots", "/plots", 1.0) == 0.35
     for number in range(8):
-        times.record("plots", "/", True, 0.1 + number / 1000, 1.0)
-    assert times.typical_s("plots", "/", 1.5) == pytest.approx(0.1035)
-    assert times.quantile("plots", "/", True, 0.95, 1.5) == pytest.approx(
-        0.107
-    )
-    assert times.typical_s("plots", "/", 30.0) == 0.0
+        times.record(run(), True, 0.1 + number / 1000, 1.0)
+    fastest_s = times.fastest_kind_s("plots", "/plots", 1.5)
+    assert fastest_s == pytest.approx(0.1035)
+    assert 0.107 < times.typical_s("plots", "/plots", 1.5) < 0.35
+    tail_s = times.quantile("plots", "/plots", True, 0.95, 1.5)
+    assert tail_s == pytest.approx(0.107)
+    assert times.typical_s("plots", "/plots", 30.0) == 0.0
     times.retain_services({})
-    assert times.typical_s("plots", "/", 1.5) == 0.0
+    assert times.typical_s("plots", "/plots", 1.5) == 0.0
+
+
+def test_runs_that_were_stopped_at_their_deadline_count():
+    """Guards slots against requests that cannot complete: without the runs
+    that were stopped, a route whose runs take too long looks fast."""
+    times = AnswerTimes()
+    for number in range(40):
+        now = 1.0 + number / 10
+        is_complete = number % 4 == 0
+        times.record(run(), is_complete, 0.4 if is_complete else 1.5, now)
+        times.record(run(), False, 0.001, now)
+    assert times.typical_s("plots", "/plots", 5.0) == 1.5
+    pool = Pool("plots", "1", 10, ByObjective(), times)
+    pool.record_latency(0.4)
+    route = Route(service="plots", path_prefix="/plots")
+    request = SlotRequest(route, "crew", 3.0, 0.0)
+    assert pool.latest_start_at(request, 5.0) == 1.5
