Count the attempts of client accounts by window

Cause: usage reports need the number of requests that backend servers began to run, by account and window of true time, over all entry VMs and within 5 %, also where messages are repeated, VMs restart or clocks are wrong.

`Reports` passes samples on and lists the offsets of the clocks.

--- a/medlarhollow/distribution/reports.py
+++ b/medlarhollow/distribution/reports.py
@@ -20,13 +20,24 @@
 
     A relay forwards the reports of its downstream VMs, so that the leader
     receives those of a data centre over one stream.
+
+    Parameters
+    ----------
+    usage_totals : UsageTotals or None
+        Merges the totals of requests; None if the fleet counts none.
     """
 
-    def __init__(self):
+    def __init__(self, usage_totals=None):
+        self._usage_totals = usage_totals
         self._vms = {}
         self._versions = {}
         self._demands = {}
 
+    @property
+    def usage_totals(self):
+        """UsageTotals or None : totals of requests, if they are counted."""
+        return self._usage_totals
+
     def add(self, request, now):
         """Add the reports and samples of a Sync request.
 
@@ -52,6 +63,8 @@
         for sample in request.demands:
             key = (sample.account, sample.data_centre)
             self._demands[key] = _sum_demands(self._demands.get(key), sample)
+        if self._usage_totals is not None:
+            self._usage_totals.add(request.usage, now)
 
     def list_recent(self, now, max_age_s):
         """Return the recent reports, aged by the time they were stored.
@@ -82,6 +95,30 @@
                 )
         return tuple(aged)
 
+    def list_clock_offsets(self, now, max_age_s):
+        """Return the offsets of the wall clocks of VMs to this VM's clock.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic time in seconds.
+        max_age_s : float
+            Maximum age of a report in seconds.
+
+        Returns
+        -------
+        list of float
+            Wall-clock time minus monotonic time in seconds, for each VM whose
+            recent report contains a wall-clock time.
+        """
+        offsets = []
+        for stored in self._vms.values():
+            report = stored.report
+            made_at = stored.received_at - report.report_age_s
+            if report.wall_time_s and now - made_at <= max_age_s:
+                offsets.append(report.wall_time_s - made_at)
+        return offsets
+
     def drain_samples(self):
         """Return and clear the samples aggregated since the last call.
 
--- /dev/null
+++ b/medlarhollow/usage/__init__.py
@@ -0,0 +1,1 @@
+"""Count the requests of each client account and report them."""
