Carry totals of requests and fleet time in Sync

Cause: the control leader settles the windows of the usage reports from the counts of all entry VMs, and all VMs need the same window boundaries.

Change: each request carries the totals that its upstream has not received, at most every 0.45 s, also when changes of the state end the holds early. A new session sends all totals again. Without totals and a fleet clock the messages have the same bytes as before.

--- a/medlarhollow/distribution/follow.py
+++ b/medlarhollow/distribution/follow.py
@@ -5,6 +5,7 @@
 
 from .. import clock
 from ..messages.records import SyncRequest
+from ..messages.records import VmState
 from .follower import Follower
 from .search import find_fresher
 from .search import find_preferred
@@ -20,7 +21,14 @@
 
 
 async def follow(
-    state_cache, channels, reports, local_report, settings, replica=None
+    state_cache,
+    channels,
+    reports,
+    local_report,
+    settings,
+    replica=None,
+    fleet_clock=None,
+    usage_counter=None,
 ):
     """Follow upstreams in order of preference, for as long as the VM runs.
 
@@ -39,9 +47,21 @@
     replica : Replica or None
         The control replica of this process, which is read without a
         connection while it is the leader.
+    fleet_clock : FleetClock or None
+        Follows the fleet time of the upstream, or derives it from the reports
+        while the local replica is the leader; None if the fleet needs none.
+    usage_counter : UsageCounter or None
+        Counts the requests of this VM; None if it counts none.
     """
     follower = Follower(
-        state_cache, channels, reports, local_report, settings, replica
+        state_cache,
+        channels,
+        reports,
+        local_report,
+        settings,
+        replica,
+        fleet_clock,
+        usage_counter,
     )
     retry_s = _RETRY_INTERVAL_S
     while True:
@@ -64,9 +84,8 @@
 async def _mirror_local_replica(follower):
     """Apply the state of this process's replica, which is the leader."""
     now = clock.monotonic()
-    follower.reports.add(
-        SyncRequest(reports=(follower.local_report(now),)), now
-    )
+    follower.collect_local(now)
+    _derive_fleet_time(follower, now)
     request = SyncRequest(
         cluster=follower.settings.vm.cluster,
         revision=follower.state_cache.state.revision,
@@ -87,6 +106,22 @@
         await asyncio.sleep(_RETRY_INTERVAL_S)
 
 
+def _derive_fleet_time(follower, now):
+    """Derive fleet time from the wall clocks in the reports of VMs."""
+    if (
+        follower.fleet_clock is None
+        or now - follower.clock_derived_at < _MIRROR_INTERVAL_S
+    ):
+        return
+    follower.clock_derived_at = now
+    offsets = follower.reports.list_clock_offsets(
+        now, follower.settings.control.vm_lease_s
+    )
+    vms = follower.replica.state.vms.values()
+    vm_count = sum(vm.state is not VmState.GONE for vm in vms)
+    follower.fleet_clock.add_offsets(offsets, vm_count, now)
+
+
 async def _follow_session(follower, session):
     """Follow a session; return the one that replaces it, or None."""
     preferred = asyncio.create_task(find_preferred(follower, session.address))
--- a/medlarhollow/distribution/follower.py
+++ b/medlarhollow/distribution/follower.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from ..messages.records import SyncRequest
 from .serve import MAX_HOLD_S
 from .upstreams import AGING_PROOF_S
 from .upstreams import AGING_RELAYED_PROOF_S
@@ -45,6 +46,10 @@
         The settings of the process.
     replica : Replica or None
         The control replica of this process.
+    fleet_clock : FleetClock or None
+        Follows the fleet time of the upstream; None if the fleet needs none.
+    usage_counter : UsageCounter or None
+        Counts the requests of this VM; None if it counts none.
     failures : dict of UpstreamFailure
         By address.
     consecutive_timeouts : int
@@ -56,6 +61,8 @@
         Monotonic time in seconds of the last response of any upstream.
     is_proof_lost : bool
         Whether the loss of the proof of authority was logged.
+    clock_derived_at : float
+        Monotonic time in seconds when fleet time was last derived here.
     """
 
     state_cache: object
@@ -64,11 +71,14 @@
     local_report: object
     settings: object
     replica: object
+    fleet_clock: object = None
+    usage_counter: object = None
     failures: dict = attrs.field(factory=dict)
     consecutive_timeouts: int = 0
     consecutive_late: int = 0
     responded_at: float = float("-inf")
     is_proof_lost: bool = False
+    clock_derived_at: float = float("-inf")
 
     @property
     def is_local_leader(self):
@@ -94,6 +104,21 @@
         factor = min(2**self.consecutive_late, _MAX_BACKOFF_FACTOR)
         return min(_LATE_RESPONSE_S * factor, self.response_timeout_s)
 
+    def collect_local(self, now):
+        """Add the report and the counts of this VM to its reports.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic time in seconds.
+        """
+        usage = ()
+        if self.usage_counter is not None:
+            usage = self.usage_counter.list_samples(now)
+        self.reports.add(
+            SyncRequest(reports=(self.local_report(now),), usage=usage), now
+        )
+
     def upstreams(self):
         """Return the upstream addresses in order of preference."""
         leader = self.replica.leader_address if self.replica else ""
--- a/medlarhollow/distribution/serve.py
+++ b/medlarhollow/distribution/serve.py
@@ -24,7 +24,7 @@
 _PROOF_POLL_S = 0.05
 
 
-async def serve_sync(stream, source, reports, settings):
+async def serve_sync(stream, source, reports, settings, fleet_clock=None):
     """Serve the Sync stream of one downstream VM until it ends.
 
     Parameters
@@ -37,6 +37,8 @@
         Collects the reports of the downstream VM.
     settings : Settings
         Sections ``vm`` and ``peer`` are read.
+    fleet_clock : FleetClock or None
+        Supplies the fleet time; None if the fleet needs none.
 
     Notes
     -----
@@ -68,7 +70,12 @@
             await _wait_for_change(source, request)
         await stream.send_message(
             build_sync_response(
-                request, source, settings, clock.monotonic(), received_at
+                request,
+                source,
+                settings,
+                clock.monotonic(),
+                received_at,
+                fleet_clock,
             )
         )
 
@@ -95,7 +102,9 @@
     return source.freshness_age_s(now) <= STALE_PROOF_S
 
 
-def build_sync_response(request, source, settings, now, received_at):
+def build_sync_response(
+    request, source, settings, now, received_at, fleet_clock=None
+):
     """Build the response to a downstream VM.
 
     Parameters
@@ -110,6 +119,8 @@
         Monotonic time in seconds.
     received_at : float
         Monotonic time in seconds when the request arrived.
+    fleet_clock : FleetClock or None
+        Supplies the fleet time; None if the fleet needs none.
 
     Returns
     -------
@@ -145,9 +156,20 @@
         held_s=max(0.0, now - received_at),
         commits=commits,
         snapshot=snapshot,
+        fleet_time_s=_fleet_time(fleet_clock, now),
     )
 
 
+def _fleet_time(fleet_clock, now):
+    """Return the fleet time, or 0 if it is unknown.
+
+    The wall-clock time of one VM is not passed on.
+    """
+    if fleet_clock is None or not fleet_clock.is_synchronized:
+        return 0.0
+    return fleet_clock.fleet_time(now)
+
+
 def _exceeds_state(commits, state):
     """Return whether changes contain more records than the resulting state.
 
--- a/medlarhollow/distribution/session.py
+++ b/medlarhollow/distribution/session.py
@@ -10,11 +10,16 @@
 from .. import clock
 from ..messages.records import SyncRequest
 from ..messages.services import FleetStub
+from ..usage.totals import UsagePosition
 from .upstreams import is_usable
 
 __all__ = ["Session", "probe", "run_session"]
 
 _LOG = logging.getLogger(__name__)
+# Totals of requests are sent no more often, although each change of the fleet
+# state ends a hold early. Slightly below the hold, so that an idle stream
+# sends them with each request.
+_USAGE_INTERVAL_S = 0.45
 
 
 @attrs.define(eq=False)
@@ -40,6 +45,10 @@
         Whether the stream ends after its next response.
     must_be_fresher : bool
         Whether such an upstream is not usable.
+    usage_position : UsagePosition
+        Totals of requests that this upstream has received.
+    usage_sent_at : float
+        Monotonic time in seconds when totals were last sent to it.
     """
 
     address: str
@@ -52,6 +61,8 @@
     aged: asyncio.Event = attrs.field(factory=asyncio.Event)
     is_superseded: bool = False
     must_be_fresher: bool = False
+    usage_position: UsagePosition = UsagePosition()
+    usage_sent_at: float = float("-inf")
 
 
 async def run_session(follower, session):
@@ -137,12 +148,11 @@
 async def _exchange(follower, session, stream, sequence):
     """Send one request and apply its response."""
     now = session.requested_at = clock.monotonic()
-    report = follower.local_report(now)
-    follower.reports.add(SyncRequest(reports=(report,)), now)
-    await stream.send_message(_build_request(follower, sequence, now))
+    follower.collect_local(now)
+    await stream.send_message(_build_request(follower, session, sequence, now))
     response = await stream.recv_message()
     follower.consecutive_timeouts = 0
-    follower.responded_at = clock.monotonic()
+    received_at = follower.responded_at = clock.monotonic()
     session.responded.set()
     if response is None:
         raise StreamTerminatedError("upstream closed the Sync stream")
@@ -155,6 +165,10 @@
         raise StreamTerminatedError(result.err_value.detail)
     if not is_usable(response, follower.settings.vm.cluster):
         raise StreamTerminatedError("upstream has no fresh proof of authority")
+    if follower.fleet_clock is not None:
+        follower.fleet_clock.add_fleet_time(
+            response.fleet_time_s, response.held_s, now, received_at
+        )
     if follower.is_aging(session.address, response.freshness_age_s):
         if session.must_be_fresher:
             raise StreamTerminatedError("upstream does not renew its proof")
@@ -165,10 +179,11 @@
         session.usable.set_result(True)
 
 
-def _build_request(follower, sequence, now):
+def _build_request(follower, session, sequence, now):
     """Build a request; the first one only finds out whether it is answered.
 
-    Samples are sent once and are lost with a request that is not answered.
+    Samples are sent once and are lost with a request that is not answered,
+    except the totals of requests, which each new session sends again.
     """
     request = SyncRequest(
         cluster=follower.settings.vm.cluster,
@@ -185,4 +200,22 @@
         ),
         versions=versions,
         demands=demands,
+        usage=_list_usage(follower, session, now),
+    )
+
+
+def _list_usage(follower, session, now):
+    """Return the totals of requests that the upstream has not received.
+
+    A request that is not answered ends its session, so what was sent on it
+    counts as received.
+    """
+    totals = follower.reports.usage_totals
+    if totals is None or now - session.usage_sent_at < _USAGE_INTERVAL_S:
+        return ()
+    samples, session.usage_position = totals.list_changes(
+        now, session.usage_position
     )
+    if samples:
+        session.usage_sent_at = now
+    return samples
