Count the attempts of entry VMs for usage reports

Cause: attempts were not counted by account, and nothing used the totals and the fleet clock of Sync.

Change: each slot reports the start and the outcome of its attempt to the usage counter. An attempt that was cancelled counts, since its server may have begun to run it; one that was forwarded to another data centre is counted by the entry VM there, and requests without an account are not counted. Each process creates the components only if `[usage] receiver` is set; otherwise its messages and its path of requests are as before.

--- a/medlarhollow/daemon/fleet_service.py
+++ b/medlarhollow/daemon/fleet_service.py
@@ -27,6 +27,8 @@
         Grants credit from measured headroom.
     telemetry : Telemetry
         Traces the requests for tokens.
+    fleet_clock : FleetClock or None
+        Supplies the fleet time; None if the fleet needs none.
     """
 
     def __init__(
@@ -38,6 +40,7 @@
         exchange,
         dispatcher,
         telemetry,
+        fleet_clock=None,
     ):
         self._settings = settings
         self._select_source = select_source
@@ -46,11 +49,16 @@
         self._exchange = exchange
         self._dispatcher = dispatcher
         self._telemetry = telemetry
+        self._fleet_clock = fleet_clock
 
     async def Sync(self, stream):
         """Serve the replicated state to one downstream VM."""
         await serve_sync(
-            stream, self._select_source(), self._reports, self._settings
+            stream,
+            self._select_source(),
+            self._reports,
+            self._settings,
+            self._fleet_clock,
         )
 
     async def Exchange(self, stream):
--- a/medlarhollow/daemon/process.py
+++ b/medlarhollow/daemon/process.py
@@ -36,6 +36,9 @@
 from ..transport import Channels
 from ..transport import PeerServer
 from ..transport.secret import read_secret
+from ..usage.counter import UsageCounter
+from ..usage.fleet_clock import FleetClock
+from ..usage.totals import UsageTotals
 from .connection_limits import ConnectionLimits
 from .fleet_service import FleetService
 from .frontend import Frontend
@@ -88,10 +91,15 @@
         self._drain_deadline = 0.0
         self._telemetry = Telemetry(settings)
         self._channels = Channels(settings, self._telemetry)
-        self._reports = Reports()
+        self._incarnation = uuid.uuid4().hex
+        self._fleet_clock = None
+        self._usage_totals = None
+        self._usage_counter = None
+        if settings.usage.receiver:
+            self._create_usage()
+        self._reports = Reports(self._usage_totals)
         self._state_cache = FleetStateCache(settings)
         self._state = VmState.SERVING
-        self._incarnation = uuid.uuid4().hex
         self._directory = Directory(settings)
         self._allocator = ShareAllocator(
             settings, self._state_cache, self._incarnation, clock.monotonic()
@@ -125,6 +133,15 @@
         if "control" in settings.vm.roles:
             self._replica = Replica(settings, self._channels)
 
+    def _create_usage(self):
+        """Create the components that count requests for usage reports."""
+        self._fleet_clock = FleetClock()
+        self._usage_totals = UsageTotals(self._settings, self._fleet_clock)
+        if "entry" in self._settings.vm.roles:
+            self._usage_counter = UsageCounter(
+                self._settings, self._incarnation, self._fleet_clock
+            )
+
     async def run(self):
         """Start all components, wait for a signal and stop gracefully.
 
@@ -175,6 +192,7 @@
             self._exchange,
             self._dispatcher,
             self._telemetry,
+            self._fleet_clock,
         )
         if self._replica is None:
             return [fleet_service]
@@ -197,6 +215,8 @@
                 self._make_report,
                 self._settings,
                 self._replica,
+                self._fleet_clock,
+                self._usage_counter,
             ),
         )
         if {"entry", "registry"} & set(self._settings.vm.roles):
@@ -225,6 +245,9 @@
             revision=self._state_cache.state.revision,
             freshness_age_s=self._state_cache.freshness_age_s(now),
             share_epoch=self._allocator.share_epoch(now),
+            wall_time_s=(
+                self._fleet_clock.wall_time() if self._fleet_clock else 0.0
+            ),
         )
 
     def _make_vm_record(self):
@@ -317,6 +340,7 @@
             caller_regions=self._caller_regions,
             dialect=self._frontend.dialect,
             share_directory=self._exchange.share,
+            usage_counter=self._usage_counter,
         )
 
     def _make_http_servers(self, client):
--- a/medlarhollow/entry/attempts.py
+++ b/medlarhollow/entry/attempts.py
@@ -166,7 +166,7 @@
     progress.trace.slot_wait_s += clock.monotonic() - started_at
     if assigned.is_err():
         return assigned
-    return Ok(Slot(vm, request.route, assigned.ok_value))
+    return Ok(Slot(vm, request, assigned.ok_value))
 
 
 async def _reserve_retry(vm, caller, admission, progress):
--- a/medlarhollow/entry/slot.py
+++ b/medlarhollow/entry/slot.py
@@ -2,6 +2,7 @@
 
 from .. import clock
 from ..requests import Answered
+from ..requests import may_have_run
 from ..requests import NotSent
 from ..requests import Refused
 from ..requests import Unanswered
@@ -25,20 +26,22 @@
     ----------
     vm : EntryVm
         Its dispatcher gets the slot back; its version selector gets the
-        result as a sample.
-    route : Route
-        Route of the request.
+        result as a sample; its usage counter counts the attempt.
+    slot_request : SlotRequest
+        Route and account of the request.
     assignment : Assignment
         Assignment by the dispatcher.
     """
 
-    def __init__(self, vm, route, assignment):
+    def __init__(self, vm, slot_request, assignment):
         self._vm = vm
-        self._route = route
+        self._route = slot_request.route
+        self._account = slot_request.account
         self._assignment = assignment
         self._selected_at = self._started_at = clock.monotonic()
         self._result = AttemptResult.CANCELLED
         self._latency_s = None
+        self._usage_attempt = None
 
     @property
     def address(self):
@@ -82,6 +85,12 @@
     def start_timer(self):
         """Start the latency timer; a reserved slot may have been idle."""
         self._started_at = clock.monotonic()
+        counter = self._vm.usage_counter
+        # A remote entry VM counts the attempts that it makes for this one.
+        if counter is not None and self._account and not self.remote:
+            self._usage_attempt = counter.start(
+                self._account, self._started_at
+            )
 
     def record_outcome(self, outcome):
         """Record the outcome, known from the response head or its absence."""
@@ -91,6 +100,7 @@
             self._result = AttemptResult.REFUSED
         if isinstance(outcome, Answered) and outcome.status >= _SERVER_ERROR:
             self._result = AttemptResult.ERROR
+        self._end_usage(may_have_run(outcome))
 
     def mark_truncated(self):
         """Record that the response ended early."""
@@ -98,6 +108,8 @@
 
     def release(self):
         """Release the slot and report the result."""
+        # Without an outcome, the attempt was cancelled after it was started.
+        self._end_usage(True)
         now = clock.monotonic()
         latency_s = self._latency_s
         if latency_s is None:
@@ -115,3 +127,8 @@
             latency_s > self._vm.settings.entry.slow_answer_s,
             self._result in _UNRESPONSIVE,
         )
+
+    def _end_usage(self, has_run):
+        if self._usage_attempt is not None:
+            self._vm.usage_counter.end(self._usage_attempt, has_run)
+            self._usage_attempt = None
--- a/medlarhollow/entry/vm.py
+++ b/medlarhollow/entry/vm.py
@@ -68,6 +68,8 @@
         Coroutine function that waits until other VMs know the servers that
         are known now, given the monotonic time, and returns whether enough
         of them confirmed it.
+    usage_counter : UsageCounter or None
+        Counts attempts by account; None if the fleet counts none.
     queued : int
         Requests that wait for a token or a slot.
     """
@@ -107,6 +109,7 @@
         )
     )
     share_directory: object = _share_with_nobody
+    usage_counter: object = None
     queued: int = 0
 
     async def wait_in_queue(self, acquisition):
