--- a/medlarhollow/usage/tests/vms.py
+++ b/medlarhollow/usage/tests/vms.py
@@ -96,12 +96,13 @@
         )
 
 
-def sync(downstream, upstream, now, is_lost=False):
-    """Exchange one request and its response without delay."""
+def sync(downstream, upstream, now, is_request_lost=False, is_lost=False):
+    """Exchange a request and its response without delay, or lose one."""
     request = downstream.make_request(now)
-    if is_lost:
+    if not is_request_lost:
+        upstream.receive(request, now)
+    if is_request_lost or is_lost:
         # The session ends, and the next one sends all totals again.
         downstream.leave_upstream()
-        return
-    upstream.receive(request, now)
-    downstream.follow_clock(upstream, now)
+    else:
+        downstream.follow_clock(upstream, now)
