--- a/medlarhollow/daemon/process.py
+++ b/medlarhollow/daemon/process.py
@@ -3,7 +3,6 @@
 import asyncio
 import logging
 import signal
-import socket
 import uuid
 
 from .. import clock
@@ -24,7 +23,6 @@
 from ..limits import ShareAllocator
 from ..membership import Directory
 from ..membership import Exchange
-from ..messages.records import MoveState
 from ..messages.records import SyncRequest
 from ..messages.records import Vm
 from ..messages.records import VmReport
@@ -36,15 +34,18 @@
 from ..telemetry import set_activity
 from ..telemetry import Telemetry
 from ..transport import Channels
-from ..transport import parse_address
 from ..transport import PeerServer
 from ..transport.secret import read_secret
+from ..usage.counter import UsageCounter
+from ..usage.fleet_clock import FleetClock
+from ..usage.totals import UsageTotals
 from .connection_limits import ConnectionLimits
 from .fleet_service import FleetService
 from .frontend import Frontend
-from .frontend import Listener
 from .http import HttpServer
 from .load_monitor import LoadMonitor
+from .metrics import make_metrics_listeners
+from .metrics import register_state_gauges
 
 __all__ = ["run_process"]
 
@@ -90,10 +91,15 @@
         self._drain_deadline = 0.0
         self._telemetry = Telemetry(settings)
         self._channels = Channels(settings, self._telemetry)
-        self._reports = Reports()
+        self._incarnation = uuid.uuid4().hex
+        self._fleet_clock = None
+        self._usage_totals = None
+        self._usage_counter = None
+        if settings.usage.receiver:
+            self._create_usage()
+        self._reports = Reports(self._usage_totals)
         self._state_cache = FleetStateCache(settings)
         self._state = VmState.SERVING
-        self._incarnation = uuid.uuid4().hex
         self._directory = Directory(settings)
         self._allocator = ShareAllocator(
             settings, self._state_cache, self._incarnation, clock.monotonic()
@@ -127,6 +133,15 @@
         if "control" in settings.vm.roles:
             self._replica = Replica(settings, self._channels)
 
+    def _create_usage(self):
+        """Create the components that count requests for usage reports."""
+        self._fleet_clock = FleetClock()
+        self._usage_totals = UsageTotals(self._settings, self._fleet_clock)
+        if "entry" in self._settings.vm.roles:
+            self._usage_counter = UsageCounter(
+                self._settings, self._incarnation, self._fleet_clock
+            )
+
     async def run(self):
         """Start all components, wait for a signal and stop gracefully.
 
@@ -143,7 +158,9 @@
         peers = PeerServer(
             self._settings, self._make_rpc_services(), self._telemetry
         )
-        self._register_gauges()
+        register_state_gauges(
+            self._telemetry, self._state_cache, self._exchange
+        )
         if self._replica is not None:
             set_activity("agreement")
             await self._replica.start()
@@ -166,28 +183,6 @@
         _LOG.info("daemon: stopped; %d requests aborted", aborted)
         return EXIT_ABORTED if aborted else 0
 
-    def _register_gauges(self):
-        """Register the gauges of the replicated state."""
-        state_cache = self._state_cache
-        self._telemetry.register_gauge(
-            "revision", lambda: state_cache.state.revision
-        )
-        self._telemetry.register_gauge(
-            "freshness_age",
-            lambda: state_cache.freshness_age_s(clock.monotonic()),
-        )
-        self._telemetry.register_gauge(
-            "dropped_records", lambda: self._exchange.dropped_records
-        )
-        self._telemetry.register_gauge(
-            "move_fraction",
-            lambda: {
-                move.service: move.fraction
-                for move in tuple(state_cache.state.moves.values())
-                if move.state is MoveState.IN_PROGRESS
-            },
-        )
-
     def _make_rpc_services(self):
         fleet_service = FleetService(
             self._settings,
@@ -197,6 +192,7 @@
             self._exchange,
             self._dispatcher,
             self._telemetry,
+            self._fleet_clock,
         )
         if self._replica is None:
             return [fleet_service]
@@ -219,6 +215,8 @@
                 self._make_report,
                 self._settings,
                 self._replica,
+                self._fleet_clock,
+                self._usage_counter,
             ),
         )
         if {"entry", "registry"} & set(self._settings.vm.roles):
@@ -247,6 +245,9 @@
             revision=self._state_cache.state.revision,
             freshness_age_s=self._state_cache.freshness_age_s(now),
             share_epoch=self._allocator.share_epoch(now),
+            wall_time_s=(
+                self._fleet_clock.wall_time() if self._fleet_clock else 0.0
+            ),
         )
 
     def _make_vm_record(self):
@@ -339,6 +340,7 @@
             caller_regions=self._caller_regions,
             dialect=self._frontend.dialect,
             share_directory=self._exchange.share,
+            usage_counter=self._usage_counter,
         )
 
     def _make_http_servers(self, client):
@@ -357,8 +359,8 @@
             )
         listeners = list(self._frontend.make_listeners(vm, admin))
         if settings.telemetry.metrics_listen:
-            listeners += self._make_metrics_listeners(
-                settings.telemetry.metrics_listen
+            listeners += make_metrics_listeners(
+                self._telemetry, settings.telemetry.metrics_listen
             )
         return [
             HttpServer(
@@ -370,25 +372,6 @@
             for listener in listeners
         ]
 
-    def _make_metrics_listeners(self, address):
-        """Return the metrics listener, or none if its address is not free.
-
-        A missing metrics listener must not keep callers from being served.
-        """
-        # Imported only here, since the client library takes memory that
-        # processes without metrics can spare.
-        from ..telemetry.scrape import make_metrics_app
-
-        try:
-            socket.create_server(parse_address(address)).close()
-        except OSError as error:
-            _LOG.warning(
-                "daemon: cannot serve metrics at %s: %s", address, error
-            )
-            return []
-        app = make_metrics_app(self._telemetry.metrics)
-        return [Listener(app, address, "metrics")]
-
 
 async def _run_with_activity(activity, work):
     set_activity(activity)
