Store the holder and windows of usage reports on control replicas

A report must never be sent with two different counts, and two VMs must never use the same fencing token. Both have to survive the loss of the leader and of all power.

UsageLedger keeps the last holder with its token, the settled windows that are not confirmed and the numbers of the last settled and confirmed window. Operators cannot propose them. The status of the administration API and the command line show the holder, the token and the last windows.

--- a/medlarhollow/admin/documents.py
+++ b/medlarhollow/admin/documents.py
@@ -29,6 +29,7 @@
     "ReplicaAnswer",
     "ReplicaOrder",
     "RollBackOrder",
+    "UsageStatus",
     "VmStatus",
 ]
 
@@ -155,6 +156,21 @@
     allocator: str
 
 
+@attrs.frozen
+class UsageStatus:
+    """Sender of the usage reports, its fencing token and its progress.
+
+    `settled` and `confirmed` are the numbers of the last windows, `pending`
+    is the number of windows that the receiver has not accepted yet.
+    """
+
+    holder: str
+    token: int
+    settled: int
+    confirmed: int
+    pending: int
+
+
 @attrs.frozen
 class FleetStatus:
     """State of the fleet as known to the responding replica."""
@@ -168,6 +184,7 @@
     replicas: tuple[ReplicaAnswer, ...]
     vms: tuple[VmStatus, ...]
     data_centres: tuple[DataCentreStatus, ...]
+    usage: UsageStatus | None = None
 
 
 @attrs.frozen
--- a/medlarhollow/admin/fleet_admin.py
+++ b/medlarhollow/admin/fleet_admin.py
@@ -26,6 +26,7 @@
 from .orders import wait_to_settle
 from .requests import change_request_id
 from .status import describe_data_centres
+from .status import describe_usage
 from .status import describe_vms
 
 __all__ = ["FleetAdmin"]
@@ -209,7 +210,7 @@
         return Ok(response.applied or Applied(revision=self.state.revision))
 
     async def status(self, now, unix_now):
-        """Describe replicas, entry VMs and data centres.
+        """Describe replicas, entry VMs, data centres and usage reports.
 
         Parameters
         ----------
@@ -237,6 +238,7 @@
             replicas=replicas,
             vms=vms,
             data_centres=describe_data_centres(state, vms),
+            usage=describe_usage(self._replica.usage),
         )
 
     def may_resume(self, request):
--- a/medlarhollow/admin/status.py
+++ b/medlarhollow/admin/status.py
@@ -1,10 +1,16 @@
-"""Status of the entry VMs and data centres."""
+"""Status of the entry VMs, data centres and usage reports."""
 
 from ..messages.records import VmState
 from .documents import DataCentreStatus
+from .documents import UsageStatus
 from .documents import VmStatus
 
-__all__ = ["PROPAGATION_LIMIT_S", "describe_data_centres", "describe_vms"]
+__all__ = [
+    "PROPAGATION_LIMIT_S",
+    "describe_data_centres",
+    "describe_usage",
+    "describe_vms",
+]
 
 # A change must take effect on every VM within this time.
 PROPAGATION_LIMIT_S = 4.0
@@ -73,6 +79,30 @@
     )
 
 
+def describe_usage(ledger):
+    """Return the status of the usage reports.
+
+    Parameters
+    ----------
+    ledger : UsageLedger
+        State as applied by this replica.
+
+    Returns
+    -------
+    UsageStatus or None
+        None if there has been no holder.
+    """
+    if ledger.holder is None:
+        return None
+    return UsageStatus(
+        holder=ledger.holder.vm,
+        token=ledger.token,
+        settled=ledger.settled,
+        confirmed=ledger.confirmed,
+        pending=len(ledger.windows),
+    )
+
+
 def _describe_vm(vm, report, revision, settled):
     vm_revision = report.revision if report else 0
     freshness = report.freshness_age_s if report else _NEVER_S
--- a/medlarhollow/admin/tests/fakes.py
+++ b/medlarhollow/admin/tests/fakes.py
@@ -20,6 +20,7 @@
 from medlarhollow.messages.records import Commit
 from medlarhollow.messages.records import ErrorKind
 from medlarhollow.transport import parse_address
+from medlarhollow.usage.ledger import UsageLedger
 
 OPERATORS = {"ana": "token-of-ana", "rui": "token-of-rui"}
 
@@ -33,6 +34,7 @@
 
     def __init__(self):
         self.state = FleetState(cluster="test")
+        self.usage = UsageLedger()
         control = SimpleNamespace(history_commits=100, history_bytes=2**23)
         self.history = CommitHistory(SimpleNamespace(control=control))
         self.changes = []
--- a/medlarhollow/admin/tests/test_status.py
+++ b/medlarhollow/admin/tests/test_status.py
@@ -6,7 +6,11 @@
 from medlarhollow.admin.status import describe_data_centres
 from medlarhollow.admin.status import describe_vms
 from medlarhollow.configuration import FleetState
+from medlarhollow.messages.records import AcquireUsageHolder
 from medlarhollow.messages.records import Allocator
+from medlarhollow.messages.records import ConfirmUsage
+from medlarhollow.messages.records import SettleUsage
+from medlarhollow.messages.records import UsageWindow
 from medlarhollow.messages.records import Vm
 from medlarhollow.messages.records import VmReport
 from medlarhollow.messages.records import VmState
@@ -51,6 +55,27 @@
     assert (south.serving, south.allocator) == (1, "")
 
 
+async def test_holder_of_the_usage_reports_is_shown(api, replica):
+    """Guards against a holder whose progress operators cannot see."""
+    status, response = await api.send("GET", "/v1/status")
+    assert (status, response["usage"]) == (200, None)
+    for body in (
+        AcquireUsageHolder("control-2", "i1"),
+        SettleUsage(UsageWindow(7), 1),
+        SettleUsage(UsageWindow(8), 1),
+        ConfirmUsage(7, 1),
+    ):
+        assert replica.usage.execute(body).is_ok()
+    status, response = await api.send("GET", "/v1/status")
+    assert response["usage"] == {
+        "holder": "control-2",
+        "token": 1,
+        "settled": 8,
+        "confirmed": 7,
+        "pending": 1,
+    }
+
+
 async def test_status_is_served(api, replica):
     """Guards against values that JSON cannot represent, such as infinity."""
     replica.state.vms["vm-1"] = VM
--- a/medlarhollow/agreement/proposals.py
+++ b/medlarhollow/agreement/proposals.py
@@ -12,7 +12,7 @@
 from .leader import new_change_entry
 from .leader import new_replicas_entry
 from .replica_set import plan_requested_change
-from .state_machine import is_claim_change
+from .state_machine import is_ledger_change
 
 __all__ = ["expects_request_id", "propose_change", "propose_replicas"]
 
@@ -27,9 +27,10 @@
 def expects_request_id(change):
     """Return whether a change is deduplicated by its request identifier.
 
-    A claim is deduplicated by its idempotency key and attempt instead.
+    A claim is deduplicated by its idempotency key and attempt instead, a
+    change of the usage reports by its token and window.
     """
-    return not is_claim_change(change)
+    return not is_ledger_change(change)
 
 
 async def propose_change(node, change, timeout_s):
--- a/medlarhollow/agreement/replica.py
+++ b/medlarhollow/agreement/replica.py
@@ -80,6 +80,11 @@
         """CommitHistory : recently accepted changes."""
         return self._state_machine.history
 
+    @property
+    def usage(self):
+        """UsageLedger : holder and windows of usage reports."""
+        return self._state_machine.usage
+
     @property
     def cluster(self):
         """Name of the cluster."""
--- a/medlarhollow/agreement/state_machine.py
+++ b/medlarhollow/agreement/state_machine.py
@@ -2,7 +2,8 @@
 
 It extends the fleet state by the data that only control replicas keep: the
 first result of each change, so that a change resent after a lost response is
-not applied twice, and the idempotency claims.
+not applied twice, the idempotency claims, and the holder and windows of usage
+reports.
 """
 
 import hashlib
@@ -20,28 +21,36 @@
 from ..configuration import resolve_superseded
 from ..errors import fail
 from ..messages import encode
+from ..messages.records import AcquireUsageHolder
 from ..messages.records import Applied
 from ..messages.records import Claim
 from ..messages.records import Commit
 from ..messages.records import CompleteClaim
+from ..messages.records import ConfirmUsage
 from ..messages.records import ErrorKind
 from ..messages.records import OrderRecord
 from ..messages.records import ReleaseClaim
 from ..messages.records import RequestRecord
+from ..messages.records import SettleUsage
 from ..requests import ClaimLedger
+from ..usage.ledger import UsageLedger
 
-__all__ = ["StateMachine", "is_claim_change"]
+__all__ = ["StateMachine", "is_ledger_change"]
 
 _LOG = logging.getLogger(__name__)
 _CLAIM_CHANGES = (Claim, CompleteClaim, ReleaseClaim)
+_USAGE_CHANGES = (AcquireUsageHolder, SettleUsage, ConfirmUsage)
 # Results and orders that are remembered: those of a day of the design size,
 # and as many of the leader's own changes.
 MAX_RECORDS = 20_000
 
 
-def is_claim_change(change):
-    """Return whether a change concerns an idempotency claim."""
-    return isinstance(change.body, _CLAIM_CHANGES)
+def is_ledger_change(change):
+    """Return whether a change concerns a claim or the usage reports.
+
+    Only control replicas store these; they have no revision.
+    """
+    return isinstance(change.body, _CLAIM_CHANGES + _USAGE_CHANGES)
 
 
 class StateMachine:
@@ -58,6 +67,7 @@
         self._state = FleetState(cluster=settings.vm.cluster)
         self._history = CommitHistory(settings)
         self._claims = ClaimLedger(settings)
+        self._usage = UsageLedger()
         self._request_records = {}
         self._order_records = {}
 
@@ -71,16 +81,22 @@
         """CommitHistory : recently accepted changes."""
         return self._history
 
+    @property
+    def usage(self):
+        """UsageLedger : holder and windows of usage reports."""
+        return self._usage
+
     def snapshot(self):
         """Return the complete state as a record.
 
         Returns
         -------
         StateSnapshot
-            The fleet state, the first results of changes and the claims.
+            The fleet state, the first results of changes, the claims and the
+            usage reports.
         """
         return attrs.evolve(
-            self._state.snapshot(),
+            self._usage.snapshot(self._state.snapshot()),
             requests=tuple(self._request_records.values()),
             claims=self._claims.records,
             orders=tuple(self._order_records.values()),
@@ -97,6 +113,7 @@
         self._state = FleetState.from_snapshot(snapshot)
         self._history.clear()
         self._claims.restore(snapshot.claims)
+        self._usage.restore(snapshot)
         self._request_records = {
             record.request_id: record for record in snapshot.requests
         }
@@ -123,8 +140,10 @@
         """
         self._expire(self._request_records, "request_id", now)
         self._expire(self._order_records, "subject", now)
-        if is_claim_change(change):
+        if isinstance(change.body, _CLAIM_CHANGES):
             return self._apply_guarded(self._claims.execute, change.body, now)
+        if isinstance(change.body, _USAGE_CHANGES):
+            return self._execute_usage(change)
         first = self._request_records.get(change.request_id)
         if first is not None:
             return _first_result(first, change)
@@ -139,6 +158,12 @@
             )
         return result
 
+    def _execute_usage(self, change):
+        authorised = check_author(change)
+        if authorised.is_err():
+            return authorised
+        return self._apply_guarded(self._usage.execute, change.body)
+
     def _expire(self, records, key, now):
         """Drop the records beyond the retention time or the limit."""
         expired_before = now - self._settings.control.request_retention_s
--- a/medlarhollow/cli/fleet.py
+++ b/medlarhollow/cli/fleet.py
@@ -71,8 +71,9 @@
         summary = {
             name: value
             for name, value in data.items()
-            if not isinstance(value, list)
+            if not isinstance(value, list) and name != "usage"
         }
+        usage = data.get("usage")
         return "\n".join(
             (
                 format_text(summary),
@@ -82,6 +83,8 @@
                 ),
                 "\ndata centres:",
                 format_table(data["data_centres"]),
+                "\nusage reports:",
+                format_table([usage] if usage else []),
                 "\nVMs:",
                 format_table(data["vms"]),
             )
--- a/medlarhollow/configuration/authority.py
+++ b/medlarhollow/configuration/authority.py
@@ -5,11 +5,14 @@
 from result import Ok
 
 from ..errors import fail
+from ..messages.records import AcquireUsageHolder
+from ..messages.records import ConfirmUsage
 from ..messages.records import ErrorKind
 from ..messages.records import FinishMove
 from ..messages.records import SetAllocator
 from ..messages.records import SetServiceVersion
 from ..messages.records import SetShares
+from ..messages.records import SettleUsage
 from ..messages.records import SetVm
 from ..messages.records import StepMove
 from ..messages.records import StepShift
@@ -46,10 +49,13 @@
 
 @_is_leader_only.register
 def _leader_only(
-    body: FinishMove
+    body: AcquireUsageHolder
+    | ConfirmUsage
+    | FinishMove
     | SetAllocator
     | SetServiceVersion
     | SetShares
+    | SettleUsage
     | SetVm
     | StepMove
     | StepShift,
--- a/medlarhollow/configuration/tests/test_shares.py
+++ b/medlarhollow/configuration/tests/test_shares.py
@@ -8,9 +8,11 @@
 from medlarhollow.configuration import FleetState
 from medlarhollow.configuration.shares import group_shares
 from medlarhollow.messages.records import Account
+from medlarhollow.messages.records import AcquireUsageHolder
 from medlarhollow.messages.records import Allocator
 from medlarhollow.messages.records import Change
 from medlarhollow.messages.records import ClientBlock
+from medlarhollow.messages.records import ConfirmUsage
 from medlarhollow.messages.records import DeleteAccount
 from medlarhollow.messages.records import ErrorKind
 from medlarhollow.messages.records import FinishMove
@@ -21,6 +23,7 @@
 from medlarhollow.messages.records import RollBackMove
 from medlarhollow.messages.records import SetAllocator
 from medlarhollow.messages.records import SetShares
+from medlarhollow.messages.records import SettleUsage
 from medlarhollow.messages.records import SetVm
 from medlarhollow.messages.records import Share
 from medlarhollow.messages.records import StepMove
@@ -212,6 +215,9 @@
         SetShares(()),
         SetAllocator(None),
         SetVm(None),
+        AcquireUsageHolder("c1", "i1"),
+        SettleUsage(None, 1),
+        ConfirmUsage(1, 1),
     ],
 )
 def test_changes_reserved_to_the_leader_are_forbidden_to_operators(body):
--- /dev/null
+++ b/medlarhollow/usage/__init__.py
@@ -0,0 +1,1 @@
+"""Reports of the requests of each client account to an outside receiver."""
