Report usage from the control leader

Cause: nothing sent the settled counts to the receiver.

Processes without a receiver start none of this. Calls are counted by result, and gauges show the token, the last windows and those not accepted yet.

--- a/medlarhollow/daemon/frontend.py
+++ b/medlarhollow/daemon/frontend.py
@@ -60,6 +60,10 @@
     return listeners
 
 
+def _make_no_client(settings):
+    return None
+
+
 @attrs.frozen
 class Frontend:
     """HTTP interface for callers, backend servers and operators.
@@ -70,7 +74,12 @@
         Returns the listeners, like :func:`make_listeners`.
     dialect : Dialect
         Names of the headers.
+    usage_client : callable
+        Returns, from the settings, a client with ``async send(holder, token,
+        window, counts) -> UsageResponse`` for the receiver of usage reports;
+        None if this front end has none.
     """
 
     make_listeners: object = make_listeners
     dialect: Dialect = attrs.field(factory=Dialect)
+    usage_client: object = _make_no_client
--- a/medlarhollow/daemon/process.py
+++ b/medlarhollow/daemon/process.py
@@ -45,6 +45,7 @@
 from .frontend import Listener
 from .http import HttpServer
 from .load_monitor import LoadMonitor
+from .usage import run_usage_reports
 
 __all__ = ["run_process"]
 
@@ -123,6 +124,9 @@
         )
         self._caller_regions = CallerRegions(self._state_cache)
         self._suspension = SuspensionMonitor()
+        # Set by the counting of usage if ``[usage] receiver`` is set.
+        self._usage_totals = self._fleet_clock = None
+
         self._replica = None
         if "control" in settings.vm.roles:
             self._replica = Replica(settings, self._channels)
@@ -234,6 +238,20 @@
                 self._settings, self._replica, self._reports, self._directory
             )
             yield "duties", leader_tasks.run()
+            if self._settings.usage.receiver:
+                yield "duties", self._report_usage()
+
+    async def _report_usage(self):
+        await run_usage_reports(
+            self._settings,
+            self._replica,
+            self._reports,
+            self._usage_totals,
+            self._fleet_clock,
+            self._frontend.usage_client(self._settings),
+            self._incarnation,
+            self._telemetry,
+        )
 
     def _select_sync_source(self):
         if self._replica is not None and self._replica.is_leader:
--- a/medlarhollow/telemetry/metrics.py
+++ b/medlarhollow/telemetry/metrics.py
@@ -50,6 +50,12 @@
         "Bytes of Sync messages.",
         ("direction",),
     ),
+    "usage_calls": (
+        "medlarhollow.usage.calls",
+        "{call}",
+        "Calls to the receiver of usage reports.",
+        ("result",),
+    ),
     "loop_busy": (
         "medlarhollow.loop.busy",
         "s",
@@ -66,6 +72,9 @@
     "processor_time": ("medlarhollow.processor.time", "s"),
     "dropped_records": ("medlarhollow.exchange.dropped_records", "{record}"),
     "loop_lag": ("medlarhollow.loop.lag", "s"),
+    "usage_token": ("medlarhollow.usage.token", "1"),
+    "usage_window": ("medlarhollow.usage.window", "1"),
+    "usage_pending": ("medlarhollow.usage.pending", "{window}"),
 }
 
 
--- a/medlarhollow/telemetry/prefixes.py
+++ b/medlarhollow/telemetry/prefixes.py
@@ -19,6 +19,7 @@
     "storage": "storage",
     "telemetry": "telemetry",
     "transport": "transport",
+    "usage": "usage",
 }
 _PACKAGE = "medlarhollow"
 
--- a/medlarhollow/telemetry/telemetry.py
+++ b/medlarhollow/telemetry/telemetry.py
@@ -171,6 +171,11 @@
         if self._is_collecting:
             self._metrics.increment("sync_bytes", (direction,), count)
 
+    def count_usage_call(self, result):
+        """Count one call to the receiver of usage reports."""
+        if self._is_collecting:
+            self._metrics.increment("usage_calls", (result,))
+
     def register_gauge(self, name, read_value):
         """Register a gauge that is read at each export of metrics.
 
--- a/medlarhollow/usage/tests/fakes.py
+++ b/medlarhollow/usage/tests/fakes.py
@@ -5,6 +5,8 @@
 from medlarhollow.errors import fail
 from medlarhollow.messages.records import Change
 from medlarhollow.messages.records import ErrorKind
+from medlarhollow.messages.records import ReplicaStatus
+from medlarhollow.messages.records import StateSnapshot
 from medlarhollow.messages.records import Vm
 from medlarhollow.messages.records import VmReport
 from medlarhollow.settings.load import parse_settings
@@ -28,6 +30,11 @@
     window: int
 
 
+@attrs.frozen
+class State:
+    vms: dict
+
+
 class FakeTotals:
     """Fake of `UsageTotals` with the counts of each window."""
 
@@ -78,71 +85,53 @@
 
 
 class Quorum:
-    """Committed log of the replicas and the leader that it follows."""
+    """Committed state of the replicas, and the leader that may change it."""
 
     def __init__(self):
         self.ledger = UsageLedger()
         self.leader = None
         self.term = 0
-        self.log = []
 
     def elect(self, replica):
-        """Elect a replica; earlier leaders do not notice it by themselves."""
+        """Elect a replica; the earlier leader keeps the ledger it knew."""
+        if self.leader is not None:
+            self.leader.usage = copy_ledger(self.ledger)
         self.leader = replica
         self.term += 1
         replica.term = self.term
-        replica.believes = True
+        replica.is_leader = True
         replica.usage = self.ledger
 
-    def commit(self, body):
-        """Commit a change and execute it."""
-        self.log.append(body)
-        return self.ledger.execute(body)
-
 
 class FakeReplica:
-    """Fake of `Replica` that may believe to lead after it was deposed.
-
-    A deposed leader keeps the ledger that it knew.
-    """
+    """Fake of `Replica` that may believe to lead after it was deposed."""
 
     def __init__(self, quorum, names=()):
         self._quorum = quorum
         self.usage = UsageLedger()
-        self.state = attrs.make_class("State", ["vms"])(
-            {name: make_vm(name) for name in names}
-        )
-        self.believes = False
+        self.state = State({name: make_vm(name) for name in names})
+        self.is_leader = False
         self.term = 0
+        # Time since a quorum last acknowledged this leader.
         self.age_s = 0.0
-        self.proposals = []
-        # Called with the body before a proposal is committed.
-        self.on_propose = None
-
-    @property
-    def is_leader(self):
-        return self.believes
+        # Called with the body before and after a change is committed.
+        self.before_commit = self.after_commit = lambda body: None
 
     def freshness_age_s(self, now):
         return self.age_s
 
     def status(self, now):
-        return attrs.make_class("Status", ["term"])(self.term)
-
-    def freeze_ledger(self):
-        """Keep the present ledger, like a replica that hears no more."""
-        snapshot = self._quorum.ledger
-        self.usage = copy_ledger(snapshot)
+        return ReplicaStatus(term=self.term)
 
     async def propose(self, change, forwarded=False):
         assert isinstance(change, Change)
         assert forwarded
-        self.proposals.append(change.body)
-        if self.on_propose is not None:
-            self.on_propose(change.body)
+        self.before_commit(change.body)
         if self._quorum.leader is not self:
             return fail(ErrorKind.NOT_LEADER, "another replica leads")
-        return self._quorum.commit(change.body)
+        result = self._quorum.ledger.execute(change.body)
+        self.after_commit(change.body)
+        return result
 
 
 class Receiver:
@@ -156,21 +145,24 @@
         self.token = 0
         self.accepted = []
         self.calls = []
+        # Responses that replace the next ones.
         self.responses = []
-        # Called before a call is executed.
-        self.on_call = None
+        # Called with the call before and after it is executed.
+        self.before_call = self.after_call = lambda call: None
 
     async def send(self, holder, token, window, counts):
-        self.calls.append((self.now, holder, token, window))
-        if self.on_call is not None:
-            await self.on_call()
+        call = (self.now, holder, token, window, counts)
+        self.calls.append(call)
+        self.before_call(call)
         if self.responses:
-            response = self.responses.pop(0)
-            if response is not None:
-                return response
-        return self.execute(holder, token, window, counts)
-
-    def execute(self, holder, token, window, counts):
+            return self.responses.pop(0)
+        response = self.execute(call)
+        self.after_call(call)
+        return response
+
+    def execute(self, call):
+        """Execute a call, at any time after it was sent."""
+        _, holder, token, window, counts = call
         if token < self.token:
             return UsageResponse.FENCED
         self.token = token
@@ -181,17 +173,9 @@
 def copy_ledger(ledger):
     """Return an independent ledger with the same content."""
     copy = UsageLedger()
-    copy.restore(_Snapshot(ledger))
+    copy.restore(ledger.snapshot(StateSnapshot()))
     return copy
 
 
-class _Snapshot:
-    def __init__(self, ledger):
-        self.usage_holder = ledger.holder
-        self.usage_windows = ledger.windows
-        self.usage_settled = ledger.settled
-        self.usage_confirmed = ledger.confirmed
-
-
-def make_vm(name):
-    return Vm(name, "i1", "r", "d", "192.0.2.1:80")
+def make_vm(name, incarnation="i1"):
+    return Vm(name, incarnation, "r", "d", "192.0.2.1:80")
