Explore the holder of usage reports as a model

Cause: tests of single faults do not cover their interleavings.

Change: the model elects, deposes and restarts control replicas, loses or delays entries, calls and responses, and runs the real ledger and planner. It looks for two counts of one window, one token of two processes, and VMs that send in the order A, B, A within the lease.

--- a/medlarhollow/modelcheck/__init__.py
+++ b/medlarhollow/modelcheck/__init__.py
@@ -9,10 +9,12 @@
 from .late_orders import explore_late_orders
 from .search import Exploration
 from .search import explore
+from .usage_reports import explore_usage_reports
 
 __all__ = [
     "Exploration",
     "explore",
     "explore_first_start",
     "explore_late_orders",
+    "explore_usage_reports",
 ]
--- a/medlarhollow/modelcheck/__main__.py
+++ b/medlarhollow/modelcheck/__main__.py
@@ -10,6 +10,7 @@
 from .late_orders import explore_late_orders
 from .late_orders import Guards
 from .order_kinds import ORDER_KINDS
+from .usage_reports import explore_usage_reports
 
 _WITHOUT_ONE = {
     field.name: Guards(**{field.name: False}) for field in attrs.fields(Guards)
@@ -20,6 +21,12 @@
     "5 seeds": {"seeds": 5, "losses": 0, "restarts": 0},
 }
 
+_USAGE_REPORTS = {
+    "3 elections": {"losses": 0},
+    "2 elections, 2 losses": {"elections": 2, "losses": 2},
+    "2 elections, restart": {"elections": 2, "restarts": 1},
+}
+
 
 def main(arguments=None):
     """Explore all models and print a JSON line for each.
@@ -55,6 +62,10 @@
         result = explore_first_start(**sizes, limit_states=options.states)
         _print(f"first start, {name}", result)
         is_violated |= bool(result.violation)
+    for name, faults in _USAGE_REPORTS.items():
+        result = explore_usage_reports(**faults, limit_states=options.states)
+        _print(f"usage reports, {name}", result)
+        is_violated |= bool(result.violation)
     return int(is_violated)
 
 
--- a/medlarhollow/modelcheck/tests/test_models.py
+++ b/medlarhollow/modelcheck/tests/test_models.py
@@ -1,12 +1,17 @@
 """Short explorations of the models."""
 
+import attrs
 import pytest
 
 from medlarhollow.modelcheck import explore
 from medlarhollow.modelcheck import explore_first_start
 from medlarhollow.modelcheck import explore_late_orders
+from medlarhollow.modelcheck import explore_usage_reports
 from medlarhollow.modelcheck.late_orders import Guards
 from medlarhollow.modelcheck.order_kinds import ORDER_KINDS
+from medlarhollow.usage.calls import SendUsage
+from medlarhollow.usage.ledger import UsageLedger
+from medlarhollow.usage.planner import UsagePlanner
 
 STATES = 20_000
 MOVE = "move that is rolled back"
@@ -96,3 +101,73 @@
         limit_states=200_000,
     )
     assert result.violation
+
+
+@pytest.mark.parametrize(
+    "faults",
+    [
+        {"elections": 2, "waits": 1, "losses": 1},
+        {"elections": 2, "waits": 1, "losses": 0, "restarts": 1},
+        {"elections": 3, "waits": 1, "losses": 0},
+    ],
+)
+def test_holders_of_usage_reports_agree(faults):
+    result = explore_usage_reports(**faults)
+    assert result.is_complete
+    assert not result.violation
+
+
+def test_holders_that_do_not_wait_act_by_turns():
+    """Shows that the model finds the fault that the lease prevents."""
+    result = explore_usage_reports(
+        elections=3, waits=2, losses=0, lease_s=0.0, wait_s=1.0
+    )
+    assert result.violation == "A, B, A within the lease"
+
+
+class UnsettledPlanner(UsagePlanner):
+    """Sends counts without settling them first."""
+
+    def _plan_settlement(self, view, now, fleet_now):
+        settlement = super()._plan_settlement(view, now, fleet_now)
+        if settlement is None or now < self._call_at:
+            return None
+        return SendUsage("c", view.ledger.token, settlement.window)
+
+
+def test_counts_that_are_not_settled_differ():
+    """Shows that the model finds the fault that the settlement prevents."""
+    result = explore_usage_reports(
+        elections=2, waits=1, losses=0, make_planner=UnsettledPlanner
+    )
+    assert result.violation == "two counts of one window"
+
+
+class SharedTokenLedger(UsageLedger):
+    """Gives the token of the previous holder to the next one."""
+
+    def execute(self, body):
+        token = self.token
+        result = super().execute(body)
+        if token and self.token > token:
+            self._holder = attrs.evolve(self._holder, token=token)
+        return result
+
+
+class TrustingPlanner(UsagePlanner):
+    """Acts under any token of the committed holder."""
+
+    def _holds(self, holder):
+        return self._is_self(holder)
+
+
+def test_shared_token_is_found():
+    """Shows that the model finds the fault that new tokens prevent."""
+    result = explore_usage_reports(
+        elections=2,
+        waits=1,
+        losses=0,
+        make_ledger=SharedTokenLedger,
+        make_planner=TrustingPlanner,
+    )
+    assert result.violation == "one token from two processes"
--- a/medlarhollow/usage/tests/test_planner.py
+++ b/medlarhollow/usage/tests/test_planner.py
@@ -64,6 +64,15 @@
             self.totals.complete.add((window, name, incarnation))
 
 
+def test_another_process_under_the_same_name_is_another_holder():
+    """Guards against two VMs with one name that send the same token."""
+    leader = Leader()
+    leader.settle(ENDED)
+    assert leader.ledger.execute(AcquireUsageHolder("c1", "i2")).is_ok()
+    step = leader.planner.plan(leader.view, END_S, END_S)
+    assert step == AcquireUsageHolder("c1", "i1")
+
+
 def test_window_is_settled_when_all_counts_are_complete():
     """Guards against a report before the last counts have arrived."""
     leader = Leader(["a1", "a2"], ["a1", "a2"])
--- a/medlarhollow/usage/tests/test_reporter.py
+++ b/medlarhollow/usage/tests/test_reporter.py
@@ -247,14 +247,17 @@
     quorum acknowledges it any more."""
     world.elect("c1")
     await world.run(8)
+    world.receiver.responses = [UsageResponse.FAILED]
+    await world.run(3.2)
     world.paused.add("c1")
     world.elect("c2", is_noticed=False)
-    await world.run(10)
+    await world.run(4.3)
     sent = len(world.calls_by("c1"))
-    world.replicas["c1"].age_s = 10.0
+    world.replicas["c1"].age_s = 4.3
     world.paused.clear()
     await world.run(10)
     assert len(world.calls_by("c1")) == sent
+    world.check_due(FIRST + 3)
 
 
 async def test_two_replicas_believe_they_lead(world):
@@ -279,7 +282,9 @@
 async def test_holder_cut_off_from_control_stops(world):
     """Guards against a holder that reaches the receiver but no quorum."""
     world.elect("c1")
-    await world.run(9)
+    await world.run(8)
+    world.receiver.responses = [UsageResponse.FAILED]
+    await world.run(3.2)
     world.elect("c2", is_noticed=False)
     world.replicas["c1"].age_s = 1.5
     cut_at = world.now
