--- a/medlarhollow/daemon/process.py
+++ b/medlarhollow/daemon/process.py
@@ -46,6 +46,7 @@
 from .load_monitor import LoadMonitor
 from .metrics import make_metrics_listeners
 from .metrics import register_state_gauges
+from .usage import run_usage_reports
 
 __all__ = ["run_process"]
 
@@ -232,6 +233,20 @@
                 self._settings, self._replica, self._reports, self._directory
             )
             yield "duties", leader_tasks.run()
+            if self._settings.usage.receiver:
+                yield "duties", self._report_usage()
+
+    async def _report_usage(self):
+        await run_usage_reports(
+            self._settings,
+            self._replica,
+            self._reports,
+            self._usage_totals,
+            self._fleet_clock,
+            self._frontend.usage_client(self._settings),
+            self._incarnation,
+            self._telemetry,
+        )
 
     def _select_sync_source(self):
         if self._replica is not None and self._replica.is_leader:
