Check fleet time in the tests to fractions of a second

Cause: the tests compared Unix times with a relative tolerance, which accepts errors of half an hour.

Change: the tests compare the time since their start with an absolute tolerance; one more test corrects fleet time while an attempt is in flight.

--- a/medlarhollow/usage/tests/test_counter.py
+++ b/medlarhollow/usage/tests/test_counter.py
@@ -143,6 +143,19 @@
     assert sum(counts["a"] for counts in totals.values()) == 200
 
 
+def test_window_is_not_complete_before_its_attempts_are_counted(settings):
+    """Guards against an attempt that is counted in a later window because the
+    time was corrected while it was in flight."""
+    fleet_clock = make_fleet_clock()
+    counter = UsageCounter(settings, "1", fleet_clock)
+    collect(counter, 1.0)
+    attempt = counter.start("a", 4.5)
+    fleet_clock.add_fleet_time(EPOCH_S + 7.0, 0.0, 4.6, 4.6)
+    assert collect(counter, 4.6) == ({}, [])
+    counter.end(attempt, has_run=True)
+    assert collect(counter, 4.7) == ({0: {"a": 1}}, [0])
+
+
 def test_suspended_vm_closes_the_windows_of_the_suspension(counter):
     """Guards against a VM that resumes and delays each report, or sends its
     windows of the last hour."""
--- a/medlarhollow/usage/tests/test_fleet_clock.py
+++ b/medlarhollow/usage/tests/test_fleet_clock.py
@@ -9,6 +9,8 @@
 from .vms import sync
 
 AHEAD_S = 2.4
+# Of a number of seconds since 1970.
+ROUNDING_S = 1e-5
 
 
 def make_fleet(leader_error_s=0.0, wrong_vms=0, vms=9):
@@ -23,6 +25,14 @@
     return leader, downstream
 
 
+def read(clock, now):
+    """Return the fleet time since the start of the test.
+
+    A relative tolerance on the time since 1970 would accept anything.
+    """
+    return clock.fleet_time(now) - EPOCH_S
+
+
 def run_round(leader, downstream, now):
     leader.collect(now)
     for vm in downstream:
@@ -42,7 +52,7 @@
     leader, downstream = make_fleet(leader_error_s, wrong_vms)
     run_round(leader, downstream, 1.0)
     for vm in (leader, *downstream):
-        assert vm.clock.fleet_time(11.0) == pytest.approx(EPOCH_S + 11.0)
+        assert read(vm.clock, 11.0) == pytest.approx(11.0, abs=ROUNDING_S)
 
 
 @pytest.mark.parametrize("jump_s", [AHEAD_S, -AHEAD_S, 3600.0])
@@ -55,7 +65,7 @@
         leader.wall_error_s = downstream[0].wall_error_s = jump
         run_round(leader, downstream, 2.0)
         for vm in (leader, downstream[0]):
-            assert vm.clock.fleet_time(2.0) == pytest.approx(EPOCH_S + 2.0)
+            assert read(vm.clock, 2.0) == pytest.approx(2.0, abs=ROUNDING_S)
 
 
 def test_new_leader_keeps_its_estimate_until_it_hears_a_majority():
@@ -67,11 +77,11 @@
     successor.wall_error_s = AHEAD_S
     successor.collect(2.0)
     successor.derive_fleet_time(2.0, 10)
-    assert successor.clock.fleet_time(2.0) == pytest.approx(EPOCH_S + 2.0)
+    assert read(successor.clock, 2.0) == pytest.approx(2.0, abs=ROUNDING_S)
     for vm in downstream[1:]:
         successor.receive(vm.make_request(3.0), 3.0)
     successor.derive_fleet_time(3.0, 10)
-    assert successor.clock.fleet_time(3.0) == pytest.approx(EPOCH_S + 3.0)
+    assert read(successor.clock, 3.0) == pytest.approx(3.0, abs=ROUNDING_S)
 
 
 def test_restarted_leader_has_no_fleet_time_until_it_hears_a_majority():
@@ -108,7 +118,8 @@
     relay.receive(vm.make_request(1.0), 1.0)
     leader.receive(relay.make_request(1.5), 1.5)
     offsets = leader.reports.list_clock_offsets(2.0, 3.0)
-    assert offsets == pytest.approx([EPOCH_S] * 2)
+    errors_s = [offset_s - EPOCH_S for offset_s in offsets]
+    assert errors_s == pytest.approx([0.0] * 2, abs=ROUNDING_S)
 
 
 def test_hold_and_transit_of_a_response_are_taken_into_account():
@@ -118,7 +129,7 @@
     leader.derive_fleet_time(1.0, 1)
     relay.follow_clock(leader, 1.54, round_trip_s=0.04, held_s=0.5)
     vm.follow_clock(relay, 2.1, round_trip_s=0.04, held_s=0.5)
-    assert vm.clock.fleet_time(2.1) == pytest.approx(EPOCH_S + 2.1)
+    assert read(vm.clock, 2.1) == pytest.approx(2.1, abs=ROUNDING_S)
 
 
 def test_response_that_was_delayed_for_long_is_discarded():
@@ -127,9 +138,9 @@
     fleet_clock = FleetClock(lambda: 0.0)
     fleet_clock.add_fleet_time(EPOCH_S, 0.5, -0.52, 0.0)
     fleet_clock.add_fleet_time(EPOCH_S + 0.5, 0.5, 0.0, 60.0)
-    assert fleet_clock.fleet_time(60.0) == pytest.approx(EPOCH_S + 60, abs=0.1)
+    assert read(fleet_clock, 60.0) == pytest.approx(60.0, abs=0.1)
     fleet_clock.add_fleet_time(EPOCH_S + 60.5, 0.5, 60.0, 60.51)
-    assert fleet_clock.fleet_time(61.0) == pytest.approx(EPOCH_S + 61, abs=0.1)
+    assert read(fleet_clock, 61.0) == pytest.approx(61.0, abs=0.1)
 
 
 def test_slower_path_replaces_the_estimate_in_time():
@@ -139,7 +150,7 @@
     fleet_clock.add_fleet_time(EPOCH_S, 0.0, 0.0, 0.0)
     for now in range(1, 6):
         fleet_clock.add_fleet_time(EPOCH_S + now + 1.0, 0.0, now - 0.3, now)
-    assert fleet_clock.fleet_time(5.0) == pytest.approx(EPOCH_S + 6.15)
+    assert read(fleet_clock, 5.0) == pytest.approx(6.15, abs=ROUNDING_S)
 
 
 def test_fleet_time_passes_over_two_relays():
