Move gauges and the metrics listener out of the process

Change: `daemon/gauges.py` registers the gauges, also those of the usage reports; `daemon/metrics_listener.py` makes the metrics listener. No change of behaviour.

--- a/medlarhollow/daemon/process.py
+++ b/medlarhollow/daemon/process.py
@@ -3,7 +3,6 @@
 import asyncio
 import logging
 import signal
-import socket
 import uuid
 
 from .. import clock
@@ -24,7 +23,6 @@
 from ..limits import ShareAllocator
 from ..membership import Directory
 from ..membership import Exchange
-from ..messages.records import MoveState
 from ..messages.records import SyncRequest
 from ..messages.records import Vm
 from ..messages.records import VmReport
@@ -36,15 +34,15 @@
 from ..telemetry import set_activity
 from ..telemetry import Telemetry
 from ..transport import Channels
-from ..transport import parse_address
 from ..transport import PeerServer
 from ..transport.secret import read_secret
 from .connection_limits import ConnectionLimits
 from .fleet_service import FleetService
 from .frontend import Frontend
-from .frontend import Listener
+from .gauges import register_gauges
 from .http import HttpServer
 from .load_monitor import LoadMonitor
+from .metrics_listener import make_metrics_listeners
 from .usage import run_usage_reports
 
 __all__ = ["run_process"]
@@ -147,7 +145,7 @@
         peers = PeerServer(
             self._settings, self._make_rpc_services(), self._telemetry
         )
-        self._register_gauges()
+        register_gauges(self._telemetry, self._state_cache, self._exchange)
         if self._replica is not None:
             set_activity("agreement")
             await self._replica.start()
@@ -170,28 +168,6 @@
         _LOG.info("daemon: stopped; %d requests aborted", aborted)
         return EXIT_ABORTED if aborted else 0
 
-    def _register_gauges(self):
-        """Register the gauges of the replicated state."""
-        state_cache = self._state_cache
-        self._telemetry.register_gauge(
-            "revision", lambda: state_cache.state.revision
-        )
-        self._telemetry.register_gauge(
-            "freshness_age",
-            lambda: state_cache.freshness_age_s(clock.monotonic()),
-        )
-        self._telemetry.register_gauge(
-            "dropped_records", lambda: self._exchange.dropped_records
-        )
-        self._telemetry.register_gauge(
-            "move_fraction",
-            lambda: {
-                move.service: move.fraction
-                for move in tuple(state_cache.state.moves.values())
-                if move.state is MoveState.IN_PROGRESS
-            },
-        )
-
     def _make_rpc_services(self):
         fleet_service = FleetService(
             self._settings,
@@ -374,10 +350,7 @@
                 self._suspension,
             )
         listeners = list(self._frontend.make_listeners(vm, admin))
-        if settings.telemetry.metrics_listen:
-            listeners += self._make_metrics_listeners(
-                settings.telemetry.metrics_listen
-            )
+        listeners += make_metrics_listeners(settings, self._telemetry)
         return [
             HttpServer(
                 _with_activity(listener.activity, listener.app),
@@ -388,25 +361,6 @@
             for listener in listeners
         ]
 
-    def _make_metrics_listeners(self, address):
-        """Return the metrics listener, or none if its address is not free.
-
-        A missing metrics listener must not keep callers from being served.
-        """
-        # Imported only here, since the client library takes memory that
-        # processes without metrics can spare.
-        from ..telemetry.scrape import make_metrics_app
-
-        try:
-            socket.create_server(parse_address(address)).close()
-        except OSError as error:
-            _LOG.warning(
-                "daemon: cannot serve metrics at %s: %s", address, error
-            )
-            return []
-        app = make_metrics_app(self._telemetry.metrics)
-        return [Listener(app, address, "metrics")]
-
 
 async def _run_with_activity(activity, work):
     set_activity(activity)
--- a/medlarhollow/daemon/usage.py
+++ b/medlarhollow/daemon/usage.py
@@ -3,6 +3,7 @@
 import logging
 
 from ..usage.reporter import UsageReporter
+from .gauges import register_usage_gauges
 
 __all__ = ["run_usage_reports"]
 
@@ -33,17 +34,7 @@
             "daemon: usage is not reported: the front end has no client"
         )
         return
-    telemetry.register_gauge("usage_token", lambda: replica.usage.token)
-    telemetry.register_gauge(
-        "usage_window",
-        lambda: {
-            "settled": replica.usage.settled,
-            "confirmed": replica.usage.confirmed,
-        },
-    )
-    telemetry.register_gauge(
-        "usage_pending", lambda: len(replica.usage.windows)
-    )
+    register_usage_gauges(telemetry, replica)
     reporter = UsageReporter(
         settings,
         replica,
