--- a/medlarhollow/usage/reporter.py
+++ b/medlarhollow/usage/reporter.py
@@ -11,6 +11,7 @@
 from ..messages.records import SettleUsage
 from .calls import SendUsage
 from .calls import UsageResponse
+from .late_counts import LateCounts
 from .planner import LeaderView
 from .planner import UsagePlanner
 
@@ -68,6 +69,7 @@
         self._client = client
         self._telemetry = telemetry
         self._planner = UsagePlanner(settings, incarnation)
+        self._late_counts = LateCounts(settings)
         self._resume_at = float("-inf")
         # Result of the last call, to log only changes of it.
         self._last_response = UsageResponse.ACCEPTED
@@ -98,6 +100,12 @@
             totals=self._totals,
         )
         fleet_now = self._fleet_clock.fleet_time(now)
+        for window, requests in self._late_counts.pop(self._totals, fleet_now):
+            _LOG.warning(
+                "usage: %d requests of window %d arrived after it was settled",
+                requests,
+                window,
+            )
         action = self._planner.plan(view, now, fleet_now)
         return action is not None and await self._perform(action)
 
@@ -130,7 +138,7 @@
                 result.err_value.detail,
             )
             return False
-        _log_change(action, self._replica.usage, settled)
+        self._record_change(action, settled)
         return True
 
     @_perform.register
@@ -157,41 +165,40 @@
             )
         return response is UsageResponse.ACCEPTED
 
-
-@functools.singledispatch
-def _log_change(body, ledger, settled):
-    """Log an accepted change; `settled` was the last settled window."""
-
-
-@_log_change.register
-def _log_acquisition(body: AcquireUsageHolder, ledger, settled):
-    _LOG.info(
-        "usage: %s holds token %d; last settled window %d, last confirmed %d",
-        body.vm,
-        ledger.token,
-        ledger.settled,
-        ledger.confirmed,
-    )
-
-
-@_log_change.register
-def _log_settlement(body: SettleUsage, ledger, settled):
-    number = body.window.window
-    if settled and number > settled + 1:
-        _LOG.warning(
-            "usage: windows %d to %d are not reported: their counts are no "
-            "longer known",
-            settled + 1,
-            number - 1,
-        )
-    if body.window.missing_vms:
-        _LOG.warning(
-            "usage: settled window %d without complete counts of %s",
-            number,
-            ", ".join(body.window.missing_vms),
+    @functools.singledispatchmethod
+    def _record_change(self, body, settled):
+        """Log an accepted change; `settled` was the last settled window."""
+
+    @_record_change.register
+    def _record_acquisition(self, body: AcquireUsageHolder, settled):
+        ledger = self._replica.usage
+        _LOG.info(
+            "usage: %s holds token %d; last settled window %d, last "
+            "confirmed %d",
+            body.vm,
+            ledger.token,
+            ledger.settled,
+            ledger.confirmed,
         )
 
+    @_record_change.register
+    def _record_settlement(self, body: SettleUsage, settled):
+        self._late_counts.add(body.window)
+        number = body.window.window
+        if settled and number > settled + 1:
+            _LOG.warning(
+                "usage: windows %d to %d are not reported: their counts are "
+                "no longer known",
+                settled + 1,
+                number - 1,
+            )
+        if body.window.missing_vms:
+            _LOG.warning(
+                "usage: settled window %d without complete counts of %s",
+                number,
+                ", ".join(body.window.missing_vms),
+            )
 
-@_log_change.register
-def _log_confirmation(body: ConfirmUsage, ledger, settled):
-    _LOG.debug("usage: window %d is confirmed", body.window)
+    @_record_change.register
+    def _record_confirmation(self, body: ConfirmUsage, settled):
+        _LOG.debug("usage: window %d is confirmed", body.window)
