--- a/medlarhollow/configuration/authority.py
+++ b/medlarhollow/configuration/authority.py
@@ -10,6 +10,7 @@
 from ..messages.records import ErrorKind
 from ..messages.records import FinishMove
 from ..messages.records import SetAllocator
+from ..messages.records import SetDivision
 from ..messages.records import SetServiceVersion
 from ..messages.records import SetShares
 from ..messages.records import SettleUsage
@@ -53,6 +54,7 @@
     | ConfirmUsage
     | FinishMove
     | SetAllocator
+    | SetDivision
     | SetServiceVersion
     | SetShares
     | SettleUsage
--- a/medlarhollow/daemon/process.py
+++ b/medlarhollow/daemon/process.py
@@ -42,10 +42,10 @@
 from .connection_limits import ConnectionLimits
 from .fleet_service import FleetService
 from .frontend import Frontend
+from .gauges import register_gauges
 from .http import HttpServer
 from .load_monitor import LoadMonitor
-from .metrics import make_metrics_listeners
-from .metrics import register_state_gauges
+from .metrics_listener import make_metrics_listeners
 from .usage import run_usage_reports
 
 __all__ = ["run_process"]
@@ -159,9 +159,7 @@
         peers = PeerServer(
             self._settings, self._make_rpc_services(), self._telemetry
         )
-        register_state_gauges(
-            self._telemetry, self._state_cache, self._exchange
-        )
+        register_gauges(self._telemetry, self._state_cache, self._exchange)
         if self._replica is not None:
             set_activity("agreement")
             await self._replica.start()
@@ -234,19 +232,18 @@
             )
             yield "duties", leader_tasks.run()
             if self._settings.usage.receiver:
-                yield "duties", self._report_usage()
-
-    async def _report_usage(self):
-        await run_usage_reports(
-            self._settings,
-            self._replica,
-            self._reports,
-            self._usage_totals,
-            self._fleet_clock,
-            self._frontend.usage_client(self._settings),
-            self._incarnation,
-            self._telemetry,
-        )
+                yield (
+                    "duties",
+                    run_usage_reports(
+                        self._settings,
+                        self._replica,
+                        self._reports,
+                        self._fleet_clock,
+                        self._frontend.usage_client(self._settings),
+                        self._incarnation,
+                        self._telemetry,
+                    ),
+                )
 
     def _select_sync_source(self):
         if self._replica is not None and self._replica.is_leader:
@@ -301,6 +298,7 @@
                 SyncRequest(
                     versions=self._version_selector.pop_samples(),
                     demands=self._limiter.pop_demand_samples(now),
+                    waits=self._dispatcher.wait_sums.pop_samples(),
                 ),
                 now,
             )
@@ -373,10 +371,7 @@
                 self._suspension,
             )
         listeners = list(self._frontend.make_listeners(vm, admin))
-        if settings.telemetry.metrics_listen:
-            listeners += make_metrics_listeners(
-                self._telemetry, settings.telemetry.metrics_listen
-            )
+        listeners += make_metrics_listeners(settings, self._telemetry)
         return [
             HttpServer(
                 _with_activity(listener.activity, listener.app),
--- a/medlarhollow/daemon/usage.py
+++ b/medlarhollow/daemon/usage.py
@@ -14,7 +14,6 @@
     settings,
     replica,
     reports,
-    totals,
     fleet_clock,
     client,
     incarnation,
@@ -24,7 +23,7 @@
 
     Parameters
     ----------
-    settings, replica, reports, totals, fleet_clock, incarnation, telemetry
+    settings, replica, reports, fleet_clock, incarnation, telemetry
         As for `UsageReporter`.
     client : UsageClient or None
         None if the front end has none; nothing is reported then.
@@ -39,7 +38,7 @@
         settings,
         replica,
         reports,
-        totals,
+        reports.usage_totals,
         fleet_clock,
         client,
         incarnation,
