--- a/medlarhollow/usage/tests/test_reporter.py
+++ b/medlarhollow/usage/tests/test_reporter.py
@@ -227,9 +227,7 @@
     await world.run(8)
     assert late
     world.receiver.send = respond
-    world.reporters["c1"]._client = world.receiver
     world.elect("c2")
-    world.reporters["c2"]._client = world.receiver
     await world.run(8)
     world.receiver.calls += late
     accepted = list(world.receiver.accepted)
