Divide objects by the fair share of regions until there is a division

Cause: each VM began with fixed weights by region. With 6 of 62 servers and the same demand as the others, a region kept about half of its objects, and its servers were overloaded from the first second.

Change: with `[backends] division = fleet`, a region keeps no more objects than its servers can serve of an equal part of the demand, and the rest goes to the regions that have more slots than that. The arithmetic of steps moves to `configuration/division_steps.py`, for the control leader as well. `RegionSteps` has the slots for which the steps were set. The default is as before.

--- a/medlarhollow/messages/records.py
+++ b/medlarhollow/messages/records.py
@@ -412,6 +412,7 @@
 
     region: str = ""
     steps: int = 0
+    slots: int = 0
 
 
 @attrs.frozen
--- a/medlarhollow/steering/regions/region_balancing.py
+++ b/medlarhollow/steering/regions/region_balancing.py
@@ -17,13 +17,14 @@
 
 import attrs
 
+from ...configuration.division_steps import apportion_steps
+from ...configuration.division_steps import DIVISION_STEPS
+from ...configuration.division_steps import rescale_steps
+from ...configuration.division_steps import weigh_steps
+
 __all__ = ["RegionBalancer", "count_region_slots"]
 
 _LOG = logging.getLogger(__name__)
-# Steps into which the objects are divided. Shares are multiples of a step, so
-# that the VMs of a region, which decide independently, mostly agree on the
-# servers of an object.
-_STEPS = 20
 # Weight of a new sample in the moving average of the wait in a region.
 _SAMPLE_WEIGHT = 0.05
 # Round trip between regions. Requests that wait for longer gain from a move to
@@ -41,9 +42,6 @@
 _MAX_AGE_S = 5.0
 # Minimum fraction of the slots of a region that receives objects of others.
 _LARGE_FRACTION = 0.2
-# Steps assumed for a region without a share. Must be above 0, since its
-# servers may be the only free ones.
-_MIN_STEPS = 1e-6
 
 
 @attrs.define
@@ -78,7 +76,9 @@
         self._remote_weight = settings.backends.remote_weight
         self._period_s = math.inf
         if settings.backends.shift_per_s:
-            self._period_s = 1 / (_STEPS * settings.backends.shift_per_s)
+            self._period_s = 1 / (
+                DIVISION_STEPS * settings.backends.shift_per_s
+            )
         self._divisions = {}
 
     def record_wait(self, pool, region, wait_s, now):
@@ -134,11 +134,7 @@
             self._rescale_steps(division, slots)
         if now - division.last_move_at >= self._period_s:
             self._move_step(pool, division, now)
-        return {
-            region: max(division.steps.get(region, 0), _MIN_STEPS) / count
-            for region, count in slots.items()
-            if count
-        }
+        return weigh_steps(division.steps, slots)
 
     def retain_services(self, services):
         """Discard the divisions of all services but the given ones."""
@@ -150,7 +146,7 @@
 
     def _initial_steps(self, slots):
         """Return the default steps of each region."""
-        return _apportion_steps(
+        return apportion_steps(
             {
                 region: count
                 * (1.0 if region == self._region else self._remote_weight)
@@ -197,19 +193,10 @@
         )
 
     def _rescale_steps(self, division, slots):
-        """Scale the share of each region with its slots immediately.
-
-        A new or returning region begins without a share, since its servers
-        have no objects cached yet.
-        """
-        weights = {}
-        for region, count in slots.items():
-            previous = division.slots.get(region, 0)
-            ratio = count / previous if previous else 0.0
-            weights[region] = division.steps.get(region, 0) * ratio
-        division.steps = _apportion_steps(weights) or self._initial_steps(
-            slots
-        )
+        """Scale the share of each region with its slots immediately."""
+        division.steps = rescale_steps(
+            division.steps, division.slots, slots
+        ) or self._initial_steps(slots)
         division.slots = slots
 
 
@@ -221,23 +208,6 @@
     return slots
 
 
-def _apportion_steps(weights):
-    """Apportion all steps by weight with the largest remainder method."""
-    total = math.fsum(weights.values())
-    if not total:
-        return {}
-    exact = {
-        region: _STEPS * weight / total for region, weight in weights.items()
-    }
-    steps = {region: int(share) for region, share in exact.items()}
-    unassigned = _STEPS - sum(steps.values())
-    for region in sorted(
-        exact, key=lambda region: (steps[region] - exact[region], region)
-    )[:unassigned]:
-        steps[region] += 1
-    return steps
-
-
 def _find_overload_move(division, waits, measured):
     """Return source and target of a move that shortens waits, or None."""
     overloaded = [
--- a/medlarhollow/steering/servers/slot_tracker.py
+++ b/medlarhollow/steering/servers/slot_tracker.py
@@ -12,8 +12,8 @@
 from ..placement.server_selection import effective_slots
 from ..placement.server_selection import LazyCandidates
 from ..placement.server_selection import make_candidate
+from ..regions.fleet_balancing import make_balancer
 from ..regions.region_balancing import count_region_slots
-from ..regions.region_balancing import RegionBalancer
 from .cold_servers import ColdServerPacer
 from .outlier_detection import OutlierDetector
 from .pauses import ServerPauses
@@ -53,7 +53,7 @@
         self._in_flight = collections.Counter()
         self._outliers = OutlierDetector(settings)
         self._pauses = ServerPauses()
-        self._balancer = RegionBalancer(settings)
+        self._balancer = make_balancer(settings, state_cache)
         self._pools = {}
         directory.subscribe(self._pools.clear)
 
