Sum waits and held slots by region for the control leader

Cause: the control leader knew neither how busy the callers of a region keep the servers of each region nor how long their requests wait, so only single VMs could move objects between regions.

An assignment has the time at which it was made. `drain_samples` returns a `Samples` record.

--- a/medlarhollow/control/leader_tasks.py
+++ b/medlarhollow/control/leader_tasks.py
@@ -86,12 +86,17 @@
         reports = self._reports.list_recent(
             now, self._settings.control.vm_lease_s
         )
-        versions, demands = self._reports.drain_samples()
+        samples = self._reports.drain_samples()
         state = self._replica.state
         return [
             *plan_versions(state, self._directory, now),
             *self._planner.plan(
-                state, reports, versions, demands, now, unix_now
+                state,
+                reports,
+                samples.versions,
+                samples.demands,
+                now,
+                unix_now,
             ),
         ]
 
--- a/medlarhollow/daemon/process.py
+++ b/medlarhollow/daemon/process.py
@@ -285,6 +285,7 @@
                 SyncRequest(
                     versions=self._version_selector.pop_samples(),
                     demands=self._limiter.pop_demand_samples(now),
+                    waits=self._dispatcher.wait_sums.pop_samples(),
                 ),
                 now,
             )
--- a/medlarhollow/distribution/reports.py
+++ b/medlarhollow/distribution/reports.py
@@ -4,7 +4,7 @@
 
 from ..messages.records import VmReport
 
-__all__ = ["Reports"]
+__all__ = ["Reports", "Samples"]
 
 
 @attrs.frozen
@@ -15,6 +15,25 @@
     received_at: float
 
 
+@attrs.frozen
+class Samples:
+    """Samples of VMs, summed up.
+
+    Attributes
+    ----------
+    versions : tuple of VersionSample
+        Sums by service, version, route and region.
+    demands : tuple of DemandSample
+        Sums by account and data centre.
+    waits : tuple of WaitSample
+        Sums by caller region, service, version and server region.
+    """
+
+    versions: tuple = ()
+    demands: tuple = ()
+    waits: tuple = ()
+
+
 class Reports:
     """Store the last report of each VM and aggregate their samples.
 
@@ -26,6 +45,7 @@
         self._vms = {}
         self._versions = {}
         self._demands = {}
+        self._waits = {}
 
     def add(self, request, now):
         """Add the reports and samples of a Sync request.
@@ -52,6 +72,14 @@
         for sample in request.demands:
             key = (sample.account, sample.data_centre)
             self._demands[key] = _sum_demands(self._demands.get(key), sample)
+        for sample in request.waits:
+            key = (
+                sample.caller_region,
+                sample.service,
+                sample.version,
+                sample.server_region,
+            )
+            self._waits[key] = _sum_waits(self._waits.get(key), sample)
 
     def list_recent(self, now, max_age_s):
         """Return the recent reports, aged by the time they were stored.
@@ -87,15 +115,18 @@
 
         Returns
         -------
-        tuple of (tuple of VersionSample, tuple of DemandSample)
-            The sums by service, version, route and region, and those by
-            account and data centre.
+        Samples
+            The sums of what was added.
         """
-        versions = tuple(self._versions.values())
-        demands = tuple(self._demands.values())
+        samples = Samples(
+            versions=tuple(self._versions.values()),
+            demands=tuple(self._demands.values()),
+            waits=tuple(self._waits.values()),
+        )
         self._versions.clear()
         self._demands.clear()
-        return versions, demands
+        self._waits.clear()
+        return samples
 
     def _add_vm(self, report, now):
         name = report.vm.name
@@ -127,3 +158,14 @@
         rate_per_s=total.rate_per_s + sample.rate_per_s,
         unmet_per_s=total.unmet_per_s + sample.unmet_per_s,
     )
+
+
+def _sum_waits(total, sample):
+    if total is None:
+        return sample
+    return attrs.evolve(
+        total,
+        requests=total.requests + sample.requests,
+        wait_s=total.wait_s + sample.wait_s,
+        busy_s=total.busy_s + sample.busy_s,
+    )
--- a/medlarhollow/distribution/session.py
+++ b/medlarhollow/distribution/session.py
@@ -177,12 +177,13 @@
     )
     if sequence == 1:
         return attrs.evolve(request, immediate=True)
-    versions, demands = follower.reports.drain_samples()
+    samples = follower.reports.drain_samples()
     return attrs.evolve(
         request,
         reports=follower.reports.list_recent(
             now, follower.settings.control.vm_lease_s
         ),
-        versions=versions,
-        demands=demands,
+        versions=samples.versions,
+        demands=samples.demands,
+        waits=samples.waits,
     )
--- a/medlarhollow/steering/assignment.py
+++ b/medlarhollow/steering/assignment.py
@@ -106,6 +106,8 @@
         Why an object is requested from another server than before.
     path_prefix : str
         Route of the request; empty if `remote`.
+    assigned_at : float
+        Monotonic time in seconds of the assignment; 0 if `remote`.
     """
 
     server: BackendServer
@@ -118,6 +120,7 @@
     lease_left_s: float = 0.0
     reason: str = ""
     path_prefix: str = ""
+    assigned_at: float = 0.0
 
 
 def assign_candidate(candidate, version, request, wait_s, now, reason=""):
@@ -147,4 +150,5 @@
         lease_left_s=candidate.view.expires_at - now,
         reason=reason,
         path_prefix=request.route.path_prefix,
+        assigned_at=now,
     )
--- a/medlarhollow/steering/dispatcher.py
+++ b/medlarhollow/steering/dispatcher.py
@@ -14,7 +14,6 @@
 from .assignment import AttemptResult
 from .placement.object_history import ObjectHistory
 from .placement.placement import identify_object_servers
-from .placement.placement import is_allowed
 from .placement.placement import Placement
 from .queueing.pool import WaitingRequest
 from .queueing.pools import Pools
@@ -22,6 +21,7 @@
 from .regions.credit_grants import CreditGrants
 from .regions.credit_requests import CreditRequests
 from .regions.spill import SpillCoordinator
+from .regions.wait_sums import make_wait_sums
 from .servers.local_load import LocalLoadSampler
 from .servers.slot_tracker import SlotTracker
 
@@ -65,6 +65,7 @@
         self._history = ObjectHistory()
         self._slots = SlotTracker(settings, directory, state_cache)
         self._refusals = Refusals(self._slots)
+        self._wait_sums = make_wait_sums(settings)
         self._is_fleet_wide = settings.backends.scope == "fleet"
         self._spill = SpillCoordinator(settings, state_cache, channels)
         self._credit_grants = CreditGrants(
@@ -84,6 +85,11 @@
         """AnswerTimes : recent times of answers by service and route."""
         return self._pools.answer_times
 
+    @property
+    def wait_sums(self):
+        """WaitSums : waits and held slots since the last samples."""
+        return self._wait_sums
+
     async def run(self):
         """Assign waiting requests and renew credit until cancelled."""
         try:
@@ -130,7 +136,9 @@
             return pool.stopped()
         wait_until = request.deadline_at
         resume_at = self._refusals.resume_at(pool, request, now)
-        if resume_at is not None or not self._has_server(pool, request, now):
+        if resume_at is not None or not self._refusals.has_server(
+            pool, request, now
+        ):
             if request.local_only or not self._may_spill():
                 return self._refusals.refuse_unavailable(pool, resume_at, now)
             wait_until = min(wait_until, now + _CREDIT_WAIT_S)
@@ -167,6 +175,7 @@
                 remote_credit.invalidate(server.service, server.server_id)
             return
         self._slots.release(server, assignment.version, result, now)
+        self._wait_sums.record(assignment, now)
         pool = self._pools.get(server.service, assignment.version)
         if pool is None:
             return
@@ -298,12 +307,6 @@
     def _candidates(self, pool, now):
         return self._slots.candidates(pool.service, pool.version, now)
 
-    def _has_server(self, pool, request, now):
-        return any(
-            is_allowed(server, request)
-            for server in self._slots.servers(pool.service, pool.version, now)
-        )
-
     async def _wait(self, pool, waiting, wait_until, now):
         request = waiting.request
         future = asyncio.get_running_loop().create_future()
@@ -329,7 +332,7 @@
         except TimeoutError:
             if _has_result(future):
                 return future.result()
-            if not self._has_server(pool, request, clock.monotonic()):
+            if not self._refusals.has_server(pool, request, clock.monotonic()):
                 return pool.no_backend()
             if wait_until < request.deadline_at:
                 return pool.deadline_unreachable()
--- a/medlarhollow/steering/queueing/refusals.py
+++ b/medlarhollow/steering/queueing/refusals.py
@@ -3,6 +3,8 @@
 import math
 import random
 
+from ..placement.placement import is_allowed
+
 __all__ = ["Refusals"]
 
 # Callers that are refused together must not return together, so times to
@@ -53,6 +55,16 @@
             return pool.deadline_unreachable()
         return pool.deadline_unreachable(wait_s * self._spread())
 
+    def has_server(self, pool, request, now):
+        """Return whether any server may serve a request.
+
+        Parameters are those of :meth:`resume_at`.
+        """
+        return any(
+            is_allowed(server, request)
+            for server in self._slots.servers(pool.service, pool.version, now)
+        )
+
     def resume_at(self, pool, request, now):
         """Return when the first of the paused servers of a request returns.
 
