Let the control leader divide the objects of each region

Cause: 64 entry VMs decided by themselves which objects move to which region, each by the few requests that it sees.

Change: with `[backends] division = fleet` (and a leader that is a registry, so that it knows the servers) the leader averages the demand of each region's callers over 2 s and commits `SetDivision`, one step in a second and none in the first 3 s of a term. Demand stays in its region up to 0.75 of the slots; if the fleet needs more, up to the mean utilization. Steps that only bring objects back take 4 s each, as in the local balancer. Steps that would move more than 7 % of the objects (the regions have few steps) are 2 s apart, since raising a weight takes objects from all regions. Demand of a region without samples is kept for 10 s, and a region whose servers vanish for less than 5 s keeps its share.

VMs do not use the divisions yet.

--- a/medlarhollow/configuration/__init__.py
+++ b/medlarhollow/configuration/__init__.py
@@ -1,6 +1,7 @@
 """Replicated fleet state and the rules for applying changes to it."""
 
 from . import accounts as accounts
+from . import divisions as divisions
 from . import evacuations as evacuations
 from . import moves as moves
 from . import network as network
--- a/medlarhollow/configuration/authority.py
+++ b/medlarhollow/configuration/authority.py
@@ -8,6 +8,7 @@
 from ..messages.records import ErrorKind
 from ..messages.records import FinishMove
 from ..messages.records import SetAllocator
+from ..messages.records import SetDivision
 from ..messages.records import SetServiceVersion
 from ..messages.records import SetShares
 from ..messages.records import SetVm
@@ -48,6 +49,7 @@
 def _leader_only(
     body: FinishMove
     | SetAllocator
+    | SetDivision
     | SetServiceVersion
     | SetShares
     | SetVm
--- a/medlarhollow/configuration/division_steps.py
+++ b/medlarhollow/configuration/division_steps.py
@@ -6,8 +6,10 @@
     "DIVISION_STEPS",
     "apportion_steps",
     "count_moved_steps",
+    "count_periods",
     "find_step",
     "initial_steps",
+    "move_step",
     "rescale_steps",
     "weigh_steps",
 ]
@@ -16,6 +18,10 @@
 # that VMs of a region that decide independently, or know slightly different
 # slots, mostly agree on the servers of an object.
 DIVISION_STEPS = 20
+# Fraction of the objects that a step may move if another one follows after one
+# period. With a period of 1 s, two of them stay within the 15 % of requests
+# that operators allow to change their region within 2 s.
+_SMALL_FRACTION = 0.07
 # Steps assumed for a region without a share. Must be above 0, since its
 # servers may be the only free ones.
 _MIN_STEPS = 1e-6
@@ -131,6 +137,39 @@
     )
 
 
+def move_step(steps, source, destination):
+    """Return a division with one step moved between two regions."""
+    moved = dict(steps)
+    moved[source] -= 1
+    moved[destination] = moved.get(destination, 0) + 1
+    return moved
+
+
+def count_periods(steps, source, destination):
+    """Return the periods that a step must be apart from the ones around it.
+
+    Parameters
+    ----------
+    steps : dict of str to int
+        Steps by region before it.
+    source, destination : str
+        Regions between which it moves.
+
+    Notes
+    -----
+    With s steps of n, a region has the highest score for s / n of the objects
+    of a weighted rendezvous. If its weight falls by a step, objects leave it
+    for all other regions, and if that of another one rises by a step, objects
+    of all others join it: (n - s) / n / (n - 1) and (n - 1 - s) / n / (n - 1)
+    of all objects. These are together 5 % if the two regions have all steps
+    but nearly 10 % if they have hardly any.
+    """
+    total = DIVISION_STEPS
+    involved = steps.get(source, 0) + steps.get(destination, 0)
+    moved = (2 * total - 1 - involved) / (total * (total - 1))
+    return 1 if moved <= _SMALL_FRACTION else 2
+
+
 def find_step(steps, target):
     """Return source and target region of a step towards a division.
 
--- a/medlarhollow/configuration/state.py
+++ b/medlarhollow/configuration/state.py
@@ -62,6 +62,8 @@
     ended_evacuations : dict of str to Evacuation
         Last evacuation of each data centre where it ended a short time ago.
         A VM that did not see it end must know that the servers may be cold.
+    divisions : dict
+        Divisions by (caller region, service, version).
     roster_changes : int
         Number of changes to `vms` applied to this object, used to invalidate
         data derived from the roster.
@@ -93,6 +95,7 @@
     limits: object = None
     evacuations: dict = attrs.field(factory=dict)
     ended_evacuations: dict = attrs.field(factory=dict)
+    divisions: dict = attrs.field(factory=dict)
     roster_changes: int = attrs.field(default=0, eq=False)
 
     def count_records(self):
@@ -178,4 +181,9 @@
     "accepted": lambda record: record.version,
     "evacuations": lambda record: record.data_centre,
     "ended_evacuations": lambda record: record.data_centre,
+    "divisions": lambda record: (
+        record.caller_region,
+        record.service,
+        record.version,
+    ),
 }
--- a/medlarhollow/control/leader_tasks.py
+++ b/medlarhollow/control/leader_tasks.py
@@ -14,6 +14,7 @@
 from ..messages.records import VmState
 from .allocators import plan_allocators
 from .demand import DemandEstimator
+from .divisions import make_division_planner
 from .leases import LeaseMonitor
 from .moves import MoveController
 from .roster import plan_roster
@@ -98,6 +99,9 @@
                 now,
                 unix_now,
             ),
+            *self._planner.plan_divisions(
+                state, samples.waits, self._directory, now
+            ),
         ]
 
     async def _propose_all(self, bodies):
@@ -153,6 +157,7 @@
         self._leases = LeaseMonitor(settings, now)
         self._demand = DemandEstimator(DEMAND_PERIOD_S, now)
         self._moves = MoveController()
+        self._divisions = make_division_planner(settings, now)
 
     def plan_allocators(self, state, now):
         """Plan the appointments of allocators that are due.
@@ -173,6 +178,10 @@
             state, self._leases, now, self._are_registries_known(now)
         )
 
+    def plan_divisions(self, state, waits, directory, now):
+        """Plan the changes of divisions; see :class:`DivisionPlanner`."""
+        return self._divisions.plan(state, waits, directory, now)
+
     def plan(self, state, reports, versions, demands, now, unix_now):
         """Plan the changes that are due.
 
