Use the committed division of objects on all VMs of a region

Cause: entry VMs that decide by themselves disagree on the servers of an object. In virtual time, the rule "own region first" also made a wave of demand worse: objects returned to a small region before its peak (mean 0.6 of the slots: 51 changes and 10 rounds above the slots in 120 s; none by the initial division).

Change: `FleetBalancer` takes the weights of the ranking from the committed division, rescaled to the slots that the VM knows; VMs with the same state and slots have the same weights. A division that differs by more than a step, as after missed commits, is approached by a step in a second. After 10 s without contact the local balancer takes over from the steps in use, and returns to them without waits. The leader now makes a step only if it would last through the peak of the last minute, except out of a region that is nearly full, and moves nothing between other regions without an overload.

The tests of steering and control pass.

--- a/medlarhollow/control/division_demand.py
+++ b/medlarhollow/control/division_demand.py
@@ -22,6 +22,11 @@
 # An average is kept this long without samples: their loss must not look like
 # demand that has ended.
 _MAX_AGE_S = 10.0
+# Time for which the peak of an average is kept: longer than the 36 s
+# in which peaks of demand were seen to pass through all regions.
+_PEAK_WINDOW_S = 60.0
+# Length of the parts of that time of which the peaks are kept.
+_PEAK_PART_S = 5.0
 # Time that an average must cover and requests that it must contain before a
 # division is changed.
 _MIN_COVERED_S = 1.5
@@ -36,11 +41,14 @@
     ----------
     slots : float
         Mean number of slots that they need.
+    peak : float
+        Largest mean of the last minute.
     is_measured : bool
         Whether enough recent samples support it.
     """
 
     slots: float
+    peak: float
     is_measured: bool
 
 
@@ -53,6 +61,7 @@
     requests: float = 0.0
     wait_s: dict = attrs.field(factory=dict)
     busy_s: dict = attrs.field(factory=dict)
+    peaks: dict = attrs.field(factory=dict)
 
     def advance(self, elapsed_s):
         """Let older samples decay, and count the time as covered."""
@@ -70,6 +79,40 @@
         self.wait_s[region] = self.wait_s.get(region, 0.0) + sample.wait_s
         self.busy_s[region] = self.busy_s.get(region, 0.0) + sample.busy_s
 
+    @property
+    def is_sufficient(self):
+        """Whether it contains enough requests of enough time."""
+        return (
+            self.covered_s >= _MIN_COVERED_S and self.requests >= _MIN_REQUESTS
+        )
+
+    def needed_slots(self, full):
+        """Return the mean number of slots needed.
+
+        Parameters
+        ----------
+        full : set of str
+            Regions in which waiting requests count.
+        """
+        needed_s = 0.0
+        for region, busy_s in self.busy_s.items():
+            needed_s += busy_s
+            if region in full:
+                needed_s += min(busy_s, self.wait_s[region])
+        return needed_s / self.covered_s
+
+    def record_peak(self, needed, now):
+        """Record a mean and return the largest one of the last minute."""
+        part = now // _PEAK_PART_S
+        self.peaks[part] = max(needed, self.peaks.get(part, 0.0))
+        oldest = (now - _PEAK_WINDOW_S) // _PEAK_PART_S
+        self.peaks = {
+            number: peak
+            for number, peak in self.peaks.items()
+            if number >= oldest
+        }
+        return max(self.peaks.values())
+
 
 class DivisionDemand:
     """Maintain averages of the demand by pool and region of callers.
@@ -114,6 +157,8 @@
     def measure(self, pool, slots, now):
         """Return the demand for a pool by region of callers.
 
+        Also records it for the peaks, so it is called in each round.
+
         Parameters
         ----------
         pool : tuple of (str, str)
@@ -145,15 +190,18 @@
             for region, count in busy.items()
             if count > TARGET_UTILIZATION * slots.get(region, 0)
         }
-        return {
-            caller: CallerDemand(
-                _count_needed_slots(average, full),
-                average.covered_s >= _MIN_COVERED_S
-                and average.requests >= _MIN_REQUESTS
-                and now - average.updated_at <= _MAX_GAP_S,
+        demands = {}
+        for caller, average in averages.items():
+            needed = average.needed_slots(full)
+            is_measured = (
+                average.is_sufficient
+                and now - average.updated_at <= _MAX_GAP_S
             )
-            for caller, average in averages.items()
-        }
+            peak = needed
+            if is_measured:
+                peak = average.record_peak(needed, now)
+            demands[caller] = CallerDemand(needed, peak, is_measured)
+        return demands
 
     def _discard_old(self, now):
         for pool, averages in list(self._averages.items()):
@@ -162,12 +210,3 @@
                     del averages[caller]
             if not averages:
                 del self._averages[pool]
-
-
-def _count_needed_slots(average, full):
-    needed_s = 0.0
-    for region, busy_s in average.busy_s.items():
-        needed_s += busy_s
-        if region in full:
-            needed_s += min(busy_s, average.wait_s[region])
-    return needed_s / average.covered_s
--- a/medlarhollow/control/divisions.py
+++ b/medlarhollow/control/divisions.py
@@ -6,8 +6,6 @@
 
 import attrs
 
-from ..configuration.division_steps import apportion_steps
-from ..configuration.division_steps import count_periods
 from ..configuration.division_steps import DIVISION_STEPS
 from ..configuration.division_steps import move_step
 from ..configuration.divisions import effective_steps
@@ -16,8 +14,9 @@
 from ..messages.records import RegionSteps
 from ..messages.records import SetDivision
 from .division_demand import DivisionDemand
+from .division_moves import choose_move
+from .division_moves import measure_load
 from .division_targets import divide_demand
-from .division_targets import target_utilization
 
 __all__ = ["DivisionPlanner", "make_division_planner"]
 
@@ -27,14 +26,7 @@
 # Minimum time between two changes of a division: with 20 steps, 5 % of the
 # requests per second. Operators allow 15 % from one 2 s window to the next.
 _MIN_PERIOD_S = 1.0
-# Deviation from the target below which a division does not change. The first
-# request for a moved object is slow, so small gains cause no moves.
-_MIN_GAIN_STEPS = 1.0
 _MIN_PERIODS = 1
-# Steps that leave a region whose load is not above the target are made this
-# many times slower: they gain only a shorter way, and demand that falls for a
-# few seconds often rises again.
-_RETURN_PERIODS = 4
 # Time between two rounds of the leader. Changes are committed at the end of a
 # round, before this time passes.
 _ROUND_S = 0.5
@@ -90,7 +82,7 @@
         self._demand = DivisionDemand(now)
         self._records = {}
         self._plans = {}
-        self._last_seen_at = {}
+        self._seen_at = collections.defaultdict(dict)
 
     def plan(self, state, samples, directory, now):
         """Plan the changes that are due.
@@ -171,52 +163,53 @@
             return []
         if self._has_lost_region(pool, committed.values(), slots, now):
             return []
-        needed = {caller: demand.slots for caller, demand in demands.items()}
-        targets = divide_demand(needed, slots)
+        targets = divide_demand(
+            {caller: demand.slots for caller, demand in demands.items()}, slots
+        )
         steps = {
             caller: effective_steps(committed.get(caller), caller, slots)
             for caller in targets
         }
-        overloads = _measure_overloads(needed, steps, slots)
+        load = measure_load(demands, steps, slots)
         changes = []
         for caller in sorted(targets):
             key = (caller, *pool)
+            demand = demands[caller]
             if not (
-                demands[caller].is_measured
-                and self._may_change(key, _MIN_PERIODS, now)
+                demand.is_measured and self._may_change(key, _MIN_PERIODS, now)
             ):
                 continue
-            move = _choose_move(steps[caller], targets[caller], overloads)
-            periods = _MIN_PERIODS
-            if move is not None:
-                periods = count_periods(steps[caller], *move)
-                wait_periods = periods
-                if not overloads[move[0]]:
-                    wait_periods = max(periods, _RETURN_PERIODS)
-                if not self._may_change(key, wait_periods, now):
-                    move = None
+            move = choose_move(
+                caller, steps[caller], targets[caller], load, demand.peak
+            )
+            if move is not None and not self._may_change(
+                key, move.wait_periods, now
+            ):
+                move = None
             division = _make_division(
                 committed.get(caller), key, steps[caller], move, slots
             )
             if division is not None:
                 self._plans[key] = _Plan(
-                    division, needed[caller], dict(slots), periods
+                    division,
+                    demand.slots,
+                    dict(slots),
+                    _MIN_PERIODS if move is None else move.periods,
                 )
                 changes.append(SetDivision(division))
         return changes
 
     def _has_lost_region(self, pool, divisions, slots, now):
-        """Return whether a region in use lost its servers a moment ago."""
-        for region, count in slots.items():
-            if count:
-                self._last_seen_at[pool, region] = now
+        """Return whether a region lost all its servers a moment ago."""
+        seen_at = self._seen_at[pool]
+        seen_at.update((region, now) for region in slots if slots[region])
+        for division in divisions:
+            for record in division.steps:
+                if record.steps:
+                    seen_at.setdefault(record.region, now)
         return any(
-            record.steps
-            and not slots.get(record.region)
-            and now - self._last_seen_at.setdefault((pool, record.region), now)
-            < _LOST_REGION_S
-            for division in divisions
-            for record in division.steps
+            not slots.get(region) and now - last < _LOST_REGION_S
+            for region, last in seen_at.items()
         )
 
     def _may_change(self, key, periods, now):
@@ -265,61 +258,6 @@
     return {pool: counts for pool, counts in slots.items() if counts.total()}
 
 
-def _choose_move(steps, target, overloads):
-    """Return source and target region of one step, or None.
-
-    Steps leave the most overloaded region first. A step goes only to a region
-    that still lacks most of it, so that it is not moved back while the demand
-    stays the same.
-    """
-    exact = {
-        region: DIVISION_STEPS * fraction
-        for region, fraction in target.items()
-    }
-    surplus = {
-        region: steps.get(region, 0) - exact.get(region, 0.0)
-        for region in sorted({*steps, *exact})
-    }
-    if max(map(abs, surplus.values())) < _MIN_GAIN_STEPS:
-        return None
-    rounded = apportion_steps(exact)
-    sources = [
-        region
-        for region in surplus
-        if steps.get(region, 0) > rounded.get(region, 0)
-    ]
-    destinations = [
-        region
-        for region in surplus
-        if steps.get(region, 0) < rounded.get(region, 0)
-    ]
-    if not sources:
-        return None
-    source = max(
-        sources,
-        key=lambda region: (overloads.get(region, 0.0), surplus[region]),
-    )
-    return source, min(destinations, key=surplus.get)
-
-
-def _measure_overloads(needed, steps, slots):
-    """Return by how much each region is above the target utilization.
-
-    Infinite for a region without slots.
-    """
-    loads = collections.Counter()
-    for caller, count in needed.items():
-        for region, own_steps in steps.get(caller, {}).items():
-            loads[region] += count * own_steps / DIVISION_STEPS
-    utilization = target_utilization(needed, slots)
-    return {
-        region: max(0.0, loads[region] / count - utilization)
-        if count
-        else math.inf
-        for region, count in slots.items()
-    }
-
-
 def _make_division(committed, key, steps, move, slots):
     """Return the next division, or None if the steps are the committed ones.
 
@@ -328,7 +266,7 @@
     if move is None and committed is None:
         return None
     if move is not None:
-        steps = move_step(steps, *move)
+        steps = move_step(steps, move.source, move.destination)
     division = Division(
         *key,
         tuple(
--- a/medlarhollow/steering/regions/region_balancing.py
+++ b/medlarhollow/steering/regions/region_balancing.py
@@ -58,6 +58,10 @@
     slots: dict
     last_move_at: float
     waits: dict = attrs.field(factory=dict)
+    # Steps to which objects return, and the slots for which these were set;
+    # None for the fixed weights of the regions.
+    default_steps: dict | None = None
+    default_slots: dict | None = None
 
 
 class RegionBalancer:
@@ -128,14 +132,55 @@
         """Return :meth:`weights`, given the slots of each region."""
         division = self._divisions.get(pool)
         if division is None or not any(division.slots.values()):
-            division = _Division(self._initial_steps(slots), slots, now)
-            self._divisions[pool] = division
+            division = self._divisions[pool] = self._restart(
+                division, slots, now
+            )
         elif division.slots != slots:
             self._rescale_steps(division, slots)
         if now - division.last_move_at >= self._period_s:
             self._move_step(pool, division, now)
         return weigh_steps(division.steps, slots)
 
+    def start(self, pool, steps, slots, now):
+        """Set the division of a pool, to which its objects return later.
+
+        Parameters
+        ----------
+        pool : tuple of (str, str)
+            Service and version.
+        steps, slots : dict of str to int
+            Steps and slots by region.
+        now : float
+            Monotonic time in seconds.
+        """
+        self._divisions[pool] = _Division(
+            dict(steps),
+            slots,
+            now,
+            default_steps=dict(steps),
+            default_slots=slots,
+        )
+
+    def stop(self, pool, slots):
+        """Discard the division of a pool.
+
+        Parameters
+        ----------
+        pool : tuple of (str, str)
+            Service and version.
+        slots : dict of str to int
+            Slots by region.
+
+        Returns
+        -------
+        dict of str to int
+            Its last steps, rescaled to the slots.
+        """
+        division = self._divisions.pop(pool)
+        if division.slots != slots:
+            self._rescale_steps(division, slots)
+        return division.steps
+
     def retain_services(self, services):
         """Discard the divisions of all services but the given ones."""
         self._divisions = {
@@ -154,6 +199,24 @@
             }
         )
 
+    def _restart(self, previous, slots, now):
+        """Return a division with the default steps of the previous one."""
+        division = _Division({}, slots, now)
+        if previous is not None:
+            division.default_steps = previous.default_steps
+            division.default_slots = previous.default_slots
+        division.steps = self._default_steps(division)
+        return division
+
+    def _default_steps(self, division):
+        """Return the steps to which objects return without overload."""
+        steps = {}
+        if division.default_steps is not None:
+            steps = rescale_steps(
+                division.default_steps, division.default_slots, division.slots
+            )
+        return steps or self._initial_steps(division.slots)
+
     def _move_step(self, pool, division, now):
         """Move one step off an overloaded region, or back to the default.
 
@@ -176,7 +239,7 @@
             now - division.last_move_at >= self._period_s * _RETURN_PERIODS
         ):
             move = _find_return_move(
-                division, waits, self._initial_steps(division.slots)
+                division, waits, self._default_steps(division)
             )
         if move is None:
             return
