Show the steps of divisions as a metric

Cause: the steps between regions could be read only from the log of the leader.

Change: the gauge `medlarhollow.division.steps` has the steps by region of callers, region of servers and pool on every VM. The gauges of the replicated state move to `daemon/gauges.py`.

The tests of telemetry and of gauges, end-to-end requests, leader tasks and upgrades pass.

--- a/medlarhollow/daemon/process.py
+++ b/medlarhollow/daemon/process.py
@@ -24,7 +24,6 @@
 from ..limits import ShareAllocator
 from ..membership import Directory
 from ..membership import Exchange
-from ..messages.records import MoveState
 from ..messages.records import SyncRequest
 from ..messages.records import Vm
 from ..messages.records import VmReport
@@ -43,6 +42,7 @@
 from .fleet_service import FleetService
 from .frontend import Frontend
 from .frontend import Listener
+from .gauges import register_gauges
 from .http import HttpServer
 from .load_monitor import LoadMonitor
 
@@ -143,7 +143,7 @@
         peers = PeerServer(
             self._settings, self._make_rpc_services(), self._telemetry
         )
-        self._register_gauges()
+        register_gauges(self._telemetry, self._state_cache, self._exchange)
         if self._replica is not None:
             set_activity("agreement")
             await self._replica.start()
@@ -166,28 +166,6 @@
         _LOG.info("daemon: stopped; %d requests aborted", aborted)
         return EXIT_ABORTED if aborted else 0
 
-    def _register_gauges(self):
-        """Register the gauges of the replicated state."""
-        state_cache = self._state_cache
-        self._telemetry.register_gauge(
-            "revision", lambda: state_cache.state.revision
-        )
-        self._telemetry.register_gauge(
-            "freshness_age",
-            lambda: state_cache.freshness_age_s(clock.monotonic()),
-        )
-        self._telemetry.register_gauge(
-            "dropped_records", lambda: self._exchange.dropped_records
-        )
-        self._telemetry.register_gauge(
-            "move_fraction",
-            lambda: {
-                move.service: move.fraction
-                for move in tuple(state_cache.state.moves.values())
-                if move.state is MoveState.IN_PROGRESS
-            },
-        )
-
     def _make_rpc_services(self):
         fleet_service = FleetService(
             self._settings,
--- a/medlarhollow/telemetry/metrics.py
+++ b/medlarhollow/telemetry/metrics.py
@@ -63,6 +63,7 @@
     "freshness_age": ("medlarhollow.freshness.age", "s"),
     "revision": ("medlarhollow.revision", "1"),
     "move_fraction": ("medlarhollow.move.fraction", "1"),
+    "division_steps": ("medlarhollow.division.steps", "{step}"),
     "processor_time": ("medlarhollow.processor.time", "s"),
     "dropped_records": ("medlarhollow.exchange.dropped_records", "{record}"),
     "loop_lag": ("medlarhollow.loop.lag", "s"),
