--- a/medlarhollow/control/tests/division_load.py
+++ b/medlarhollow/control/tests/division_load.py
@@ -33,6 +33,9 @@
 # Requests that may change their region from one 2 s window to the next.
 MAX_MOVED_FRACTION = 0.15
 WINDOW_S = 2.0
+# Waits that a balancer records of each server region in a round. Its moving
+# average has a weight of 0.05 for each.
+_WAITS_PER_ROUND = 20
 
 
 @attrs.frozen
@@ -90,14 +93,13 @@
     ]
 
 
-def make_fleet_settings(region="north", **options):
-    """Return settings with one division for all VMs of a region."""
+def make_fleet_settings(region="north", division="fleet"):
+    """Return settings of a VM, with one division for all of a region."""
     return make_settings(
         f"entry-{region}",
         region=region,
         backends__scope="fleet",
-        backends__division="fleet",
-        **options,
+        backends__division=division,
     )
 
 
@@ -110,9 +112,12 @@
         Servers by region. Each of these regions has callers.
     demand_at : callable
         Returns the slots that the callers of a region need at a time.
+    division : str
+        Setting of the same name. With ``local``, one VM stands for all of a
+        region and sees all its waits.
     """
 
-    def __init__(self, counts, demand_at):
+    def __init__(self, counts, demand_at, division="fleet"):
         self.demand_at = demand_at
         self.now = 0.0
         self.state = FleetState(cluster="test")
@@ -121,7 +126,9 @@
         self.directory = Directory()
         self.callers = tuple(counts)
         self.balancers = {
-            region: make_balancer(make_fleet_settings(region), self.cache)
+            region: make_balancer(
+                make_fleet_settings(region, division), self.cache
+            )
             for region in self.callers
         }
         self.rounds = []
@@ -130,7 +137,9 @@
         self._queues = {}
         self._rankings = {}
         self.set_servers(counts)
-        self.replace_leader()
+        self.planner = make_division_planner(
+            make_fleet_settings(division=division), self.now
+        )
 
     @property
     def divisions(self):
@@ -185,6 +194,14 @@
             for (caller, region), slots_needed in offered.items()
             if slots_needed
         ]
+        for sample in samples:
+            for _ in range(_WAITS_PER_ROUND):
+                self.balancers[sample.caller_region].record_wait(
+                    POOL,
+                    sample.server_region,
+                    waits_s[sample.server_region],
+                    now,
+                )
         arrived = self.deliver(samples, now)
         changes = self.planner.plan(self.state, arrived, self.directory, now)
         for change in changes:
@@ -277,3 +294,13 @@
         for played in rounds
         if max(played.loads.values()) > 1 and min(played.loads.values()) < 0.9
     ]
+
+
+def count_moved(rounds):
+    """Count the objects that changed their region from round to round."""
+    return sum(
+        a != b
+        for before, after in zip(rounds, rounds[1:], strict=False)
+        for caller, regions in after.regions.items()
+        for a, b in zip(before.regions[caller], regions, strict=True)
+    )
--- a/medlarhollow/control/tests/test_division_load.py
+++ b/medlarhollow/control/tests/test_division_load.py
@@ -6,6 +6,7 @@
 
 from .division_load import check_moved_fraction
 from .division_load import count_changes
+from .division_load import count_moved
 from .division_load import count_reversals
 from .division_load import DivisionFleet
 from .division_load import list_overloads
@@ -73,6 +74,17 @@
     assert max(max(played.loads.values()) for played in rounds) < 1.25
 
 
+def test_small_region_is_relieved_sooner_than_by_its_vms():
+    """Guards the purpose of divisions: each VM by itself begins with fixed
+    weights, and objects come and go with the waits."""
+    local = DivisionFleet(UNEVEN, equal_demand(0.6), "local").run(60)
+    fleet = DivisionFleet(UNEVEN, equal_demand(0.6)).run(60)
+    assert max(played.loads["east"] for played in local) > 1
+    assert list_overloads(local)
+    assert not list_overloads(fleet)
+    assert count_moved(fleet) < count_moved(local)
+
+
 @pytest.mark.parametrize("utilization", [0.5, 0.6])
 def test_objects_do_not_follow_each_peak(utilization):
     """Guards caches, and a small region against objects that return to it
--- a/medlarhollow/control/tests/test_divisions.py
+++ b/medlarhollow/control/tests/test_divisions.py
@@ -12,6 +12,8 @@
 from medlarhollow.configuration.division_steps import initial_steps
 from medlarhollow.control import divisions
 from medlarhollow.control.divisions import make_division_planner
+from medlarhollow.control.leader_tasks import LeaderTasks
+from medlarhollow.distribution import Reports
 from medlarhollow.limits.tests.support import make_settings
 from medlarhollow.messages.records import BackendServer
 from medlarhollow.messages.records import Division
@@ -19,6 +21,7 @@
 from medlarhollow.messages.records import RegionSteps
 from medlarhollow.messages.records import Service
 from medlarhollow.messages.records import SetDivision
+from medlarhollow.messages.records import SyncRequest
 from medlarhollow.messages.records import WaitSample
 
 POOL = ("plots", "1")
@@ -228,6 +231,19 @@
     assert caplog.records[1].slots == SLOTS
 
 
+def test_samples_of_vms_reach_the_division():
+    """Guards the way of samples from reports to the committed change."""
+    leader = Leader()
+    reports = Reports()
+    tasks = LeaderTasks(leader.settings, leader, reports, leader.directory)
+    bodies = []
+    for number in range(1, 12):
+        waits = (leader.sample("east", 10.0),) * 2
+        reports.add(SyncRequest(waits=waits), number * 0.5)
+        bodies += tasks._plan(number * 0.5, 1000.0 + number)
+    assert any(isinstance(body, SetDivision) for body in bodies)
+
+
 def test_refused_change_is_planned_again():
     """Guards against a division that stays behind after a lost proposal."""
     leader = Leader()
