--- a/medlarhollow/steering/dispatcher.py
+++ b/medlarhollow/steering/dispatcher.py
@@ -58,7 +58,6 @@
     ):
         self._settings = settings
         self._state_cache = state_cache
-        self._directory = directory
         self._versions = versions or VersionSelector(settings, state_cache)
         self._pools = Pools(settings, state_cache, directory, self._versions)
         self._placement = Placement(settings, state_cache)
@@ -136,9 +135,8 @@
             return pool.stopped()
         wait_until = request.deadline_at
         resume_at = self._refusals.resume_at(pool, request, now)
-        if resume_at is not None or not self._refusals.has_server(
-            pool, request, now
-        ):
+        has_server = self._refusals.has_server(pool, request, now)
+        if resume_at is not None or not has_server:
             if request.local_only or not self._may_spill():
                 return self._refusals.refuse_unavailable(pool, resume_at, now)
             wait_until = min(wait_until, now + _CREDIT_WAIT_S)
