Register the gauges of usage reports, and use the real fleet clock in a test

The launcher of test_usage_holders replaced the fleet clock by a fake that the counting side now also reads.

Change: one module has all gauges; the launcher replaces only the totals.

--- a/medlarhollow/daemon/gauges.py
+++ b/medlarhollow/daemon/gauges.py
@@ -3,7 +3,12 @@
 from .. import clock
 from ..messages.records import MoveState
 
-__all__ = ["read_division_steps", "read_move_fractions", "register_gauges"]
+__all__ = [
+    "read_division_steps",
+    "read_move_fractions",
+    "register_gauges",
+    "register_usage_gauges",
+]
 
 
 def register_gauges(telemetry, state_cache, exchange):
@@ -63,3 +68,26 @@
         for division in tuple(state.divisions.values())
         for record in division.steps
     }
+
+
+def register_usage_gauges(telemetry, replica):
+    """Register the gauges of the usage reports.
+
+    Parameters
+    ----------
+    telemetry : Telemetry
+        Reads them at each export.
+    replica : Replica
+        The replica of this process.
+    """
+    telemetry.register_gauge("usage_token", lambda: replica.usage.token)
+    telemetry.register_gauge(
+        "usage_window",
+        lambda: {
+            "settled": replica.usage.settled,
+            "confirmed": replica.usage.confirmed,
+        },
+    )
+    telemetry.register_gauge(
+        "usage_pending", lambda: len(replica.usage.windows)
+    )
--- a/medlarhollow/daemon/process.py
+++ b/medlarhollow/daemon/process.py
@@ -238,6 +238,7 @@
                         self._settings,
                         self._replica,
                         self._reports,
+                        self._usage_totals,
                         self._fleet_clock,
                         self._frontend.usage_client(self._settings),
                         self._incarnation,
--- a/medlarhollow/daemon/usage.py
+++ b/medlarhollow/daemon/usage.py
@@ -14,6 +14,7 @@
     settings,
     replica,
     reports,
+    totals,
     fleet_clock,
     client,
     incarnation,
@@ -23,7 +24,7 @@
 
     Parameters
     ----------
-    settings, replica, reports, fleet_clock, incarnation, telemetry
+    settings, replica, reports, totals, fleet_clock, incarnation, telemetry
         As for `UsageReporter`.
     client : UsageClient or None
         None if the front end has none; nothing is reported then.
@@ -38,7 +39,7 @@
         settings,
         replica,
         reports,
-        reports.usage_totals,
+        totals,
         fleet_clock,
         client,
         incarnation,
