Move the assignment of slots out of the dispatcher

Change: `SlotAssigner` chooses servers and takes their slots, for new and for queued requests; the dispatcher keeps the queueing. No change of behaviour.

--- a/medlarhollow/steering/dispatcher.py
+++ b/medlarhollow/steering/dispatcher.py
@@ -10,12 +10,10 @@
 from ..errors import fail
 from ..messages.records import ErrorKind
 from ..moves import VersionSelector
-from .assignment import assign_candidate
+from .assigner import SlotAssigner
 from .assignment import AttemptResult
-from .placement.object_history import ObjectHistory
 from .placement.placement import identify_object_servers
 from .placement.placement import is_allowed
-from .placement.placement import Placement
 from .queueing.pool import WaitingRequest
 from .queueing.pools import Pools
 from .queueing.refusals import Refusals
@@ -61,17 +59,18 @@
         self._directory = directory
         self._versions = versions or VersionSelector(settings, state_cache)
         self._pools = Pools(settings, state_cache, directory, self._versions)
-        self._placement = Placement(settings, state_cache)
-        self._history = ObjectHistory()
         self._slots = SlotTracker(settings, directory, state_cache)
         self._refusals = Refusals(self._slots)
         self._is_fleet_wide = settings.backends.scope == "fleet"
         self._spill = SpillCoordinator(settings, state_cache, channels)
+        self._assigner = SlotAssigner(
+            settings, state_cache, self._slots, self._spill
+        )
         self._credit_grants = CreditGrants(
             state_cache, self._pools, self._slots, self._spill
         )
         self._credit_requests = CreditRequests(
-            self._spill, self._may_spill, self._dispatch_waiting
+            self._spill, self._may_spill, self._assigner.assign_waiting
         )
         self._generator = random.Random()
         self._local_load = LocalLoadSampler(self._pools, self._slots)
@@ -120,10 +119,10 @@
         assignment = self._spill.route(pool, request, now)
         if assignment is not None:
             return Ok(assignment)
-        candidates = self._candidates(pool, now)
+        candidates = self._assigner.candidates(pool, now)
         servers = identify_object_servers(candidates, request)
         if not pool.must_wait(request, servers, now):
-            assignment = self._assign(pool, request, candidates, now)
+            assignment = self._assigner.assign(pool, request, candidates, now)
             if assignment is not None:
                 return Ok(assignment)
         if self._is_stopped:
@@ -182,7 +181,7 @@
         if result in (AttemptResult.OK, AttemptResult.ERROR):
             pool.record_latency(latency_s)
             self._slots.record_wait(assignment, now)
-        self._dispatch_waiting(pool, now)
+        self._assigner.assign_waiting(pool, now)
 
     def record_load(self, assignment, load, now):
         """Record the load that a server reported with a response.
@@ -277,27 +276,10 @@
         """
         return self._credit_grants.grant(request, now)
 
-    def _assign(self, pool, request, candidates, now, wait_s=0.0):
-        """Return a local slot, a slot on credit, or None."""
-        chosen = self._placement.choose(candidates, request, now)
-        if chosen is not None:
-            self._slots.acquire(chosen.view, now)
-            pool.in_flight += 1
-            reason = self._history.record(chosen, candidates, request)
-            return assign_candidate(
-                chosen, pool.version, request, wait_s, now, reason
-            )
-        if request.local_only or self._is_fleet_wide:
-            return None
-        return self._spill.spend(pool, request, now)
-
     def _may_spill(self):
         """Return whether credit from other data centres can be used."""
         return not self._is_fleet_wide and self._spill.has_remote_vms()
 
-    def _candidates(self, pool, now):
-        return self._slots.candidates(pool.service, pool.version, now)
-
     def _has_server(self, pool, request, now):
         return any(
             is_allowed(server, request)
@@ -351,37 +333,12 @@
             pool.remove(ticket)
             if not _has_result(future):
                 # This request may have blocked others in the queue.
-                self._dispatch_waiting(pool, clock.monotonic())
+                self._assigner.assign_waiting(pool, clock.monotonic())
 
     def _dispatch_all(self):
         now = clock.monotonic()
         for pool in self._pools.list():
-            self._dispatch_waiting(pool, now)
-
-    def _dispatch_waiting(self, pool, now):
-        """Assign free slots and credit to waiting requests."""
-        while len(pool.queue):
-            candidates = self._candidates(pool, now)
-            if not any(
-                candidate.free_slots > 0 for candidate in candidates
-            ) and not (self._spill.remote_credit.available(pool.service, now)):
-                return
-            assigned = []
-
-            def try_assign(item, candidates=candidates, assigned=assigned):
-                if item.future.done():
-                    return False
-                assigned.append(
-                    self._assign(
-                        pool, item.request, candidates, now, now - item.since
-                    )
-                )
-                return assigned[-1] is not None
-
-            ticket = pool.queue.pop(try_assign, now)
-            if ticket is None:
-                return
-            ticket.item.future.set_result(Ok(assigned[-1]))
+            self._assigner.assign_waiting(pool, now)
 
     def _evict_unused(self, now):
         self._spill.remote_credit.evict_expired(now)
