Assign slots for second attempts of requests

Cause: a second attempt while the first one runs must take a slot that is free now, at the other server of the object, ahead of nobody.

Change: `Dispatcher.try_acquire` neither waits nor spends credit, passes no queued request and takes no cold server. The object history keeps the first server as the usual one and knows the second, so that the kinds of runs stay true. The time of an attempt that was superseded is a sample of answer times, as the percentile would fall without it; outlier detection ignores it.

--- a/medlarhollow/steering/assigner.py
+++ b/medlarhollow/steering/assigner.py
@@ -1,9 +1,11 @@
 """Assign slots of backend servers to requests."""
 
+import attrs
 from result import Ok
 
 from .assignment import assign_candidate
 from .placement.object_history import ObjectHistory
+from .placement.placement import identify_object_servers
 from .placement.placement import Placement
 
 __all__ = ["SlotAssigner"]
@@ -68,6 +70,41 @@
             return None
         return self._spill.spend(pool, request, now)
 
+    def assign_other(self, pool, request, now):
+        """Return a local slot for the second attempt of a request.
+
+        Parameters
+        ----------
+        pool : Pool
+            Pool of the request.
+        request : SlotRequest
+            The request, which excludes the server of its first attempt.
+        now : float
+            Monotonic time in seconds.
+
+        Returns
+        -------
+        Assignment or None
+            None if the other server of the object is full or cold; a cold
+            one takes few requests and answers slowly. Servers beyond those
+            two do not have the object.
+        """
+        candidates = self.candidates(pool, now)
+        chosen = self._placement.choose(candidates, request, now)
+        if chosen is None or chosen.is_cold:
+            return None
+        servers = identify_object_servers(
+            candidates, attrs.evolve(request, excluded=frozenset())
+        )
+        if servers and chosen.view.server.server_id not in servers:
+            return None
+        self._slots.acquire(chosen.view, now)
+        pool.in_flight += 1
+        reason = self._history.record_second(chosen, request)
+        return assign_candidate(
+            chosen, pool.version, request, 0.0, now, reason
+        )
+
     def assign_waiting(self, pool, now):
         """Assign free slots and credit to the queued requests of a pool."""
         while len(pool.queue):
--- a/medlarhollow/steering/assignment.py
+++ b/medlarhollow/steering/assignment.py
@@ -17,7 +17,11 @@
 
 
 class AttemptResult(enum.Enum):
-    """Result of an attempt at a backend server."""
+    """Result of an attempt at a backend server.
+
+    ``SUPERSEDED`` is a first attempt that was closed because the second one
+    was answered earlier: it took at least the time that is recorded.
+    """
 
     OK = "ok"
     ERROR = "error"
@@ -25,6 +29,7 @@
     NOT_SENT = "not sent"
     REFUSED = "refused"
     CANCELLED = "cancelled"
+    SUPERSEDED = "superseded"
 
 
 @attrs.frozen
--- a/medlarhollow/steering/dispatcher.py
+++ b/medlarhollow/steering/dispatcher.py
@@ -144,6 +144,40 @@
             pool, WaitingRequest(request, None, now, servers), wait_until, now
         )
 
+    def count_queued(self, service, version):
+        """Return the number of requests of a pool that wait for a slot.
+
+        Parameters
+        ----------
+        service, version : str
+            The pool.
+        """
+        pool = self._pools.get(service, version)
+        return 0 if pool is None else len(pool.queue)
+
+    def try_acquire(self, request, now):
+        """Take a slot for a second attempt if one is free now.
+
+        Parameters
+        ----------
+        request : SlotRequest
+            The request, which excludes the server of its first attempt.
+        now : float
+            Monotonic time in seconds.
+
+        Returns
+        -------
+        Assignment or None
+            None if no slot of the other server of the object is free, or if
+            requests wait for slots. Credit is not spent.
+        """
+        if request.route.service not in self._state_cache.state.services:
+            return None
+        pool = self._pools.find(request, now)
+        if self._is_stopped or len(pool.queue):
+            return None
+        return self._assigner.assign_other(pool, request, now)
+
     def release(self, assignment, result, latency_s, now):
         """Release a slot and record the result of the attempt.
 
@@ -170,7 +204,9 @@
         if pool is None:
             return
         pool.in_flight = max(0, pool.in_flight - 1)
-        if result is AttemptResult.OK:
+        # Without the time of a superseded attempt, which is at least this, the
+        # slowest runs would be missing from the quantiles.
+        if result in (AttemptResult.OK, AttemptResult.SUPERSEDED):
             self._pools.answer_times.record(
                 server.service,
                 assignment.path_prefix,
--- a/medlarhollow/steering/placement/object_history.py
+++ b/medlarhollow/steering/placement/object_history.py
@@ -3,6 +3,7 @@
 import collections
 
 from .placement import list_object_servers
+from .rendezvous import SERVERS_PER_OBJECT
 
 __all__ = ["ObjectHistory"]
 
@@ -42,17 +43,51 @@
             return ""
         key = (slot_request.route.service, slot_request.affinity)
         server_id = chosen.view.server.server_id
-        previous_id = self._servers.get(key)
-        self._servers[key] = server_id
+        known = self._servers.get(key, ())
+        others = [other for other in known if other != server_id]
+        self._store(key, (server_id, *others))
+        if not known:
+            return "first request for the object"
+        if known[0] == server_id:
+            return ""
+        reason = _explain(known[0], candidates, slot_request)
+        return f"not {known[0]}, which {reason}"
+
+    def record_second(self, chosen, slot_request):
+        """Record the server of a second attempt.
+
+        The server of the first attempt stays the one from which the object
+        is requested: the next request to it is a repeated one.
+
+        Parameters
+        ----------
+        chosen : Candidate
+            The server.
+        slot_request : SlotRequest
+            The request.
+
+        Returns
+        -------
+        str
+            Empty if the request is for no object or the server served it
+            before.
+        """
+        if not slot_request.affinity:
+            return ""
+        key = (slot_request.route.service, slot_request.affinity)
+        server_id = chosen.view.server.server_id
+        known = self._servers.get(key, ())
+        self._store(key, (*known[:1], server_id))
+        if server_id in known:
+            return ""
+        return "second attempt, the first request there"
+
+    def _store(self, key, servers):
+        """Keep the latest servers of an object, and evict the oldest one."""
+        self._servers[key] = servers[:SERVERS_PER_OBJECT]
         self._servers.move_to_end(key)
         if len(self._servers) > _MAX_OBJECTS:
             self._servers.popitem(last=False)
-        if previous_id is None:
-            return "first request for the object"
-        if previous_id == server_id:
-            return ""
-        reason = _explain(previous_id, candidates, slot_request)
-        return f"not {previous_id}, which {reason}"
 
 
 def _explain(server_id, candidates, slot_request):
--- a/medlarhollow/steering/servers/answer_times.py
+++ b/medlarhollow/steering/servers/answer_times.py
@@ -59,7 +59,15 @@
         samples = self._samples.setdefault(key, _Samples())
         samples.times.append((now, answer_s))
 
-    def quantile(self, service, path_prefix, is_repeated, fraction, now):
+    def quantile(
+        self,
+        service,
+        path_prefix,
+        is_repeated,
+        fraction,
+        now,
+        min_samples=_MIN_SAMPLES,
+    ):
         """Return a quantile of the recent times of one kind of run.
 
         Parameters
@@ -72,6 +80,8 @@
             Part of the runs that take no longer, from 0 to 1.
         now : float
             Monotonic time in seconds.
+        min_samples : int
+            Number of recent samples that are required.
 
         Returns
         -------
@@ -84,11 +94,12 @@
         if now - samples.computed_at >= _REFRESH_S:
             samples.quantiles.clear()
             samples.computed_at = now
-        if fraction not in samples.quantiles:
-            samples.quantiles[fraction] = _quantile(
-                samples.times, fraction, now
+        key = (fraction, min_samples)
+        if key not in samples.quantiles:
+            samples.quantiles[key] = _quantile(
+                samples.times, fraction, now, min_samples
             )
-        return samples.quantiles[fraction]
+        return samples.quantiles[key]
 
     def typical_s(self, service, path_prefix, now):
         """Return the median of the recent runs, repeated ones if known.
@@ -120,13 +131,13 @@
         }
 
 
-def _quantile(times, fraction, now):
+def _quantile(times, fraction, now, min_samples):
     recent = [
         answer_s
         for recorded_at, answer_s in times
         if now - recorded_at <= _MAX_AGE_S
     ]
-    if len(recent) < _MIN_SAMPLES:
+    if len(recent) < min_samples:
         return None
     if fraction == 0.5:
         return statistics.median(recent)
--- a/medlarhollow/steering/servers/outlier_detection.py
+++ b/medlarhollow/steering/servers/outlier_detection.py
@@ -104,7 +104,7 @@
         views : collection of ServerView or Lease
             Its pool.
         result : AttemptResult
-            Result of the attempt; a cancelled one is ignored.
+            Result of the attempt; one that was closed early is ignored.
         now : float
             Monotonic time in seconds.
 
@@ -113,7 +113,7 @@
         bool
             Whether the result caused the ejection of the server.
         """
-        if result is AttemptResult.CANCELLED:
+        if result in (AttemptResult.CANCELLED, AttemptResult.SUPERSEDED):
             return False
         record = self._record(view)
         failed = result in _FAILURES
