Decide on second attempts of slow requests

Cause: a few slow responses determine the slowest percentiles. Operators accept extra work for requests that may be repeated, within a limit.

Change: `requests/hedging.py` decides whether and when a second attempt may start: after the 95th percentile of the recent runs of the same kind, within the hedge limit and half of the retry budget, and not while requests wait for slots or servers reject.

--- a/medlarhollow/requests/__init__.py
+++ b/medlarhollow/requests/__init__.py
@@ -4,6 +4,9 @@
 from .claims import ClaimLedger
 from .deadlines import choose_timeout
 from .deadlines import format_remaining
+from .hedging import FirstAttempt
+from .hedging import HedgeVerdict
+from .hedging import Hedging
 from .idempotency import check_age
 from .idempotency import parse_idempotency_key
 from .redaction import BodyRedactor
@@ -20,6 +23,9 @@
     "Answered",
     "BodyRedactor",
     "ClaimLedger",
+    "FirstAttempt",
+    "HedgeVerdict",
+    "Hedging",
     "NotSent",
     "Refused",
     "RetryBudget",
--- a/medlarhollow/requests/budget.py
+++ b/medlarhollow/requests/budget.py
@@ -32,15 +32,29 @@
         self._vm_count = 1
         self._levels = {}
 
+    @property
+    def fraction(self):
+        """Float : retries allowed for each request."""
+        return self._fraction
+
+    @property
+    def capacity(self):
+        """Float : tokens that a bucket holds at most."""
+        return max(1.0, self._local_burst())
+
+    def level(self, service):
+        """Return the tokens of a service that are left."""
+        burst = self._local_burst()
+        return min(self._levels.get(service, burst), max(1.0, burst))
+
     def has_tokens(self, service):
         """Return whether a retry to a service is allowed now."""
-        return self._level(service) >= 1.0
+        return self.level(service) >= 1.0
 
     def count_request(self, service):
         """Add the tokens of one request of a caller to a service."""
-        capacity = max(1.0, self._local_burst())
         self._levels[service] = min(
-            capacity, self._level(service) + self._fraction
+            self.capacity, self.level(service) + self._fraction
         )
 
     def try_consume(self, service):
@@ -58,13 +72,9 @@
         """
         if not self.has_tokens(service):
             return False
-        self._levels[service] = self._level(service) - 1.0
+        self._levels[service] = self.level(service) - 1.0
         return True
 
-    def _level(self, service):
-        burst = self._local_burst()
-        return min(self._levels.get(service, burst), max(1.0, burst))
-
     def _local_burst(self):
         """Return the burst divided by the number of entry VMs."""
         if self._state_cache is not None:
