Send a second attempt while a slow first one runs

Cause: a request waited for its server however long that took, up to half of the time left, while the other server of its object was free.

Change: with `hedge_limit` above 0, the first attempt of a request has its own task; once it is slow, a second one is started at the other server, and the task of the request waits for both and ends both. The first response that calls for no retry is used, the other attempt is closed and counted. The key is checked again before the second attempt. A second attempt that cannot start leaves the first one alone. Request log and metrics say what was decided. For this, the progress of a request, the slots for retries and the single attempt move out of `entry/attempts.py` (225 lines instead of 373); `sent` follows from the attempts that run or may have run. With a limit of 0 the path is the one before.

--- a/medlarhollow/daemon/process.py
+++ b/medlarhollow/daemon/process.py
@@ -345,6 +345,9 @@
         settings = self._settings
         vm = self._make_entry_vm(client)
         self._telemetry.register_gauge("queue_length", lambda: vm.queued)
+        self._telemetry.register_gauge(
+            "hedges_left", lambda: vm.hedging.tokens
+        )
         limits = ConnectionLimits(settings.entry, self._state_cache)
         admin = None
         if self._replica is not None:
--- a/medlarhollow/entry/attempts.py
+++ b/medlarhollow/entry/attempts.py
@@ -1,10 +1,7 @@
 """Send a request to backend servers and stream the response."""
 
-import asyncio
-import logging
 import math
 
-import attrs
 from result import Ok
 
 from .. import clock
@@ -12,74 +9,29 @@
 from ..errors import outcome_of
 from ..messages.records import ErrorKind
 from ..requests import Answered
-from ..requests import may_have_run
 from ..requests import may_retry
 from ..requests import NotSent
-from ..requests import Unanswered
 from .admission import recheck_key
+from .attempt import conclude_attempt
+from .attempt import wait_for_response_head
 from .backend_client import TruncatedResponseError
-from .backend_request import make_backend_headers
-from .backend_request import make_target
 from .caller import CallerDisconnectedError
-from .caller import ForwardedBody
 from .claim_client import ResponseRecorder
 from .headers import filter_response_headers
 from .headers import REQUEST_ID_HEADER
-from .request_log import RequestTrace
-from .response_head import classify_response
-from .response_head import report_load
-from .response_head import report_notice
-from .slot import Slot
+from .hedging import wait_for_attempts
+from .retry_slots import acquire_slot
+from .retry_slots import can_retry
+from .retry_slots import reserve_retry
 
-__all__ = ["RequestProgress", "serve_attempts"]
+__all__ = ["serve_attempts"]
 
-_LOG = logging.getLogger(__name__)
-# Maximum number of backend servers tried per request if the route sets none.
-_DEFAULT_ATTEMPTS = 3
 _BODILESS = frozenset({204, 304})
-# An idempotent request is moved to another server only if that server has a
-# free slot within this time; otherwise it stays with the first server.
-_RETRY_SLOT_WAIT_S = 0.1
-# Time for a response to arrive that its server ended at the deadline that it
-# was given: a few round trips between regions.
-_TRANSIT_S = 0.1
 # A response of unknown length that started before the deadline may end this
 # much after it, so that a response that was ready is delivered.
 _BODY_GRACE_S = 0.25
 
 
-@attrs.define
-class RequestProgress:
-    """Progress of a request over its attempts.
-
-    Attributes
-    ----------
-    excluded : frozenset of str
-        Backend servers that were already tried.
-    attempt_count : int
-        Number of attempts started.
-    sent : bool
-        Whether the request may have run on a backend server.
-    claim : ClaimClient or None
-        Granted claim of a non-idempotent request.
-    reserved : Slot or None
-        Slot reserved for the next attempt.
-    caller_disconnected : bool
-        Whether the caller disconnected or stalled while the response to a
-        claimed request was streamed.
-    trace : RequestTrace
-        Timings and attempts for the request log.
-    """
-
-    excluded: frozenset = frozenset()
-    attempt_count: int = 0
-    sent: bool = False
-    claim: object = None
-    reserved: object = None
-    caller_disconnected: bool = False
-    trace: RequestTrace = attrs.field(factory=RequestTrace)
-
-
 async def serve_attempts(vm, caller, admission, progress, prepare=None):
     """Send a request until it gets a response or must not be retried.
 
@@ -120,7 +72,7 @@
     while True:
         slot, progress.reserved = progress.reserved, None
         if slot is None:
-            acquired = await _acquire_slot(vm, admission, progress)
+            acquired = await acquire_slot(vm, admission, progress)
             if acquired.is_err():
                 return _resolve_refusal(progress, acquired)
             slot = acquired.ok_value
@@ -145,7 +97,7 @@
             return Ok(None)
         if progress.reserved is None and not (
             may_retry(outcome, admission.idempotent)
-            and _can_retry(caller, admission, progress)
+            and can_retry(caller, admission, progress)
             # A failed connect puts no load on other servers, so its retry
             # needs no budget.
             and (
@@ -156,37 +108,6 @@
             return _final_failure(progress, outcome)
 
 
-async def _acquire_slot(vm, admission, progress, deadline_at=None):
-    request = attrs.evolve(admission.slot_request, excluded=progress.excluded)
-    if deadline_at is not None:
-        request = attrs.evolve(request, deadline_at=deadline_at)
-    started_at = clock.monotonic()
-    with vm.telemetry.span("entry.queue"):
-        assigned = await vm.wait_in_queue(vm.dispatcher.acquire(request))
-    progress.trace.slot_wait_s += clock.monotonic() - started_at
-    if assigned.is_err():
-        return assigned
-    return Ok(Slot(vm, request.route, assigned.ok_value))
-
-
-async def _reserve_retry(vm, caller, admission, progress):
-    """Reserve a slot and retry budget; return whether both were free."""
-    if not vm.retry_budget.has_tokens(
-        _service_of(admission)
-    ) or not _can_retry(caller, admission, progress):
-        return False
-    limit_at = clock.monotonic() + _RETRY_SLOT_WAIT_S
-    limit_at = min(limit_at, admission.slot_request.deadline_at)
-    acquired = await _acquire_slot(vm, admission, progress, limit_at)
-    if acquired.is_err():
-        return False
-    if not vm.retry_budget.try_consume(_service_of(admission)):
-        acquired.ok_value.release()
-        return False
-    progress.reserved = acquired.ok_value
-    return True
-
-
 async def _check_before_sending(vm, admission, progress, prepare):
     checked = recheck_key(vm, admission, clock.monotonic())
     if checked.is_err():
@@ -212,96 +133,38 @@
     Answered, Refused, NotSent, Unanswered or None
         None if the response was streamed to the caller.
     """
-    progress.attempt_count += 1
-    progress.excluded |= {slot.server_id}
-    slot.start_timer()
-    sent_before = progress.sent
-    progress.sent = True
-    with vm.telemetry.span("entry.backend", server=slot.server_id):
-        response = await _wait_for_response_head(
+    progress.start_attempt(slot)
+    if vm.hedging.is_enabled and progress.attempt_count == 1:
+        attempt = await wait_for_attempts(
             vm, caller, admission, progress, slot
         )
-    if isinstance(response, NotSent | Unanswered):
-        slot.record_outcome(response)
-        progress.trace.add_attempt(slot, response)
-        progress.sent = sent_before or may_have_run(response)
-        return response
-    outcome = classify_response(
-        response, slot, vm.dialect, admission.request_id
-    )
-    report_load(vm, response, slot)
-    report_notice(vm, response, slot, outcome)
-    slot.record_outcome(outcome)
-    progress.trace.add_attempt(slot, outcome)
-    progress.sent = sent_before or may_have_run(outcome)
+    else:
+        with vm.telemetry.span("entry.backend", server=slot.server_id):
+            response = await wait_for_response_head(
+                vm, caller, admission, progress, slot
+            )
+        attempt = conclude_attempt(vm, admission, progress, slot, response)
     try:
-        if isinstance(outcome, Unanswered):
-            # Further data on these connections belongs to no known request.
-            await vm.client.retire_connections(slot.address)
-        if not isinstance(outcome, Answered):
-            return outcome
-        if may_retry(outcome, admission.idempotent) and await _reserve_retry(
-            vm, caller, admission, progress
-        ):
-            return outcome
-        await _stream_response(vm, caller, admission, progress, response)
+        if not isinstance(attempt.outcome, Answered):
+            return attempt.outcome
+        if may_retry(
+            attempt.outcome, admission.idempotent
+        ) and await reserve_retry(vm, caller, admission, progress):
+            return attempt.outcome
+        await _stream_response(
+            vm, caller, admission, progress, attempt.response
+        )
     except TruncatedResponseError:
-        slot.mark_truncated()
+        attempt.slot.mark_truncated()
         raise
     finally:
-        await response.close()
+        try:
+            await attempt.close(vm)
+        finally:
+            attempt.slot.release()
     return None
 
 
-async def _wait_for_response_head(vm, caller, admission, progress, slot):
-    request_task = asyncio.create_task(
-        vm.client.send(
-            caller.method,
-            slot.address,
-            make_target(caller, vm.dialect),
-            make_backend_headers(vm, caller, admission, slot),
-            (
-                ForwardedBody(caller, vm.dialect.masks_keys)
-                if caller.has_body
-                else None
-            ),
-            admission.idempotent and caller.is_buffered,
-        )
-    )
-    response = None
-    try:
-        silent_part = vm.settings.entry.silent_part
-        if admission.idempotent and caller.is_buffered and silent_part < 1:
-            left_s = admission.slot_request.deadline_at - clock.monotonic()
-            silence_limit_s = left_s * silent_part
-            await asyncio.wait({request_task}, timeout=silence_limit_s)
-            if not request_task.done() and await _reserve_retry(
-                vm, caller, admission, progress
-            ):
-                if not request_task.done():
-                    raise TimeoutError
-                progress.reserved.release()
-                progress.reserved = None
-        left_s = admission.slot_request.deadline_at - clock.monotonic()
-        async with asyncio.timeout(left_s + _TRANSIT_S):
-            response = await request_task
-        return response
-    except TimeoutError:
-        await vm.client.retire_connections(slot.address)
-        return Unanswered(f"{slot.address} sent no response in time")
-    finally:
-        if response is None and not request_task.cancel():
-            await _close_late_response(request_task)
-
-
-async def _close_late_response(request_task):
-    """Close a response that arrived while its request was cancelled."""
-    if not request_task.cancelled() and request_task.exception() is None:
-        response = request_task.result()
-        if not isinstance(response, NotSent | Unanswered):
-            await response.close()
-
-
 async def _stream_response(vm, caller, admission, progress, response):
     headers = filter_response_headers(response.raw_headers)
     if response.status in _BODILESS:
@@ -347,15 +210,6 @@
     return admission.slot_request.route.service
 
 
-def _can_retry(caller, admission, progress):
-    return (
-        progress.attempt_count
-        < (admission.slot_request.route.attempts or _DEFAULT_ATTEMPTS)
-        and caller.can_replay
-        and clock.monotonic() < admission.slot_request.deadline_at
-    )
-
-
 def _resolve_refusal(progress, result):
     """Return the failure, as unknown if an earlier attempt may have run."""
     if progress.sent and outcome_of(result.err_value.kind) == "not-run":
--- a/medlarhollow/entry/proxy.py
+++ b/medlarhollow/entry/proxy.py
@@ -9,7 +9,6 @@
 from ..errors import fail
 from ..messages.records import ErrorKind
 from .admission import admit
-from .attempts import RequestProgress
 from .attempts import serve_attempts
 from .backend_client import TruncatedResponseError
 from .caller import BodyTooLargeError
@@ -18,6 +17,7 @@
 from .claim_client import ClaimClient
 from .claim_client import make_fingerprint
 from .headers import REQUEST_ID_HEADER
+from .progress import RequestProgress
 from .responses import make_caller_failure_response
 from .responses import make_replay_response
 
@@ -139,6 +139,7 @@
         vm = self._vm
         slot_request = admission.slot_request
         vm.retry_budget.count_request(slot_request.route.service)
+        vm.hedging.count_request(slot_request.route.service)
         if self._is_limited(slot_request.account) and not admission.forwarded:
             wait_started_at = clock.monotonic()
             with vm.telemetry.span("entry.token"):
--- a/medlarhollow/entry/request_log.py
+++ b/medlarhollow/entry/request_log.py
@@ -4,14 +4,43 @@
 
 import attrs
 
+from ..requests import HedgeVerdict
 from ..telemetry import LogRateLimiter
 
-__all__ = ["RequestLog", "RequestTrace"]
+__all__ = ["HedgeTrace", "RequestLog", "RequestTrace"]
 
 _LOG = logging.getLogger(__name__)
 _SERVED = "ok"
 
 
+@attrs.define
+class HedgeTrace:
+    """What became of the second attempt of a request.
+
+    Attributes
+    ----------
+    verdict : HedgeVerdict
+        Whether there was a second attempt, or why there was none.
+    winner : str
+        ``first`` or ``second``, by the attempt that was used; empty if there
+        was no second attempt, or if both failed.
+    saved_s : float
+        Estimated time saved, in seconds.
+    tokens_left : float
+        Second attempts that the limits of the service still permitted.
+    """
+
+    verdict: HedgeVerdict = HedgeVerdict.NOT_SLOW
+    winner: str = ""
+    saved_s: float = 0.0
+    tokens_left: float = 0.0
+
+    @property
+    def is_hedged(self):
+        """Bool : whether there was a second attempt."""
+        return self.verdict is HedgeVerdict.HEDGED
+
+
 @attrs.define
 class RequestTrace:
     """Timings and attempts of one request.
@@ -26,12 +55,15 @@
         Description of each attempt.
     detail : str
         Reason for a refusal or failure.
+    hedge : HedgeTrace or None
+        None if second attempts are off or the request was not sent.
     """
 
     token_wait_s: float = 0.0
     slot_wait_s: float = 0.0
     attempts: list = attrs.field(factory=list)
     detail: str = ""
+    hedge: HedgeTrace | None = None
 
     def add_attempt(self, slot, outcome):
         """Add an attempt.
@@ -46,8 +78,15 @@
         """
         name = type(outcome).__name__.lower()
         text = getattr(outcome, "detail", "") or getattr(outcome, "status", "")
+        self._add(slot, f"{name} {text}")
+
+    def add_superseded(self, slot):
+        """Add an attempt that was closed since the other was answered."""
+        self._add(slot, "superseded")
+
+    def _add(self, slot, end):
         self.attempts.append(
-            f"{slot.server_id} {name} {text} "
+            f"{slot.server_id} {end} "
             f"{_milliseconds(slot.latency_s)} ms, {slot.describe_selection()}"
         )
 
@@ -113,6 +152,8 @@
             fields["revision_age_ms"] = _milliseconds(age_s)
         if trace.detail:
             fields["detail"] = trace.detail
+        if trace.hedge is not None:
+            fields |= _describe_hedge(trace.hedge)
         if slot_request is not None:
             fields["service"] = slot_request.route.service
             fields["route"] = slot_request.route.path_prefix
@@ -126,5 +167,16 @@
         _LOG.info("entry: request %s", outcome, extra=fields)
 
 
+def _describe_hedge(hedge):
+    fields = {
+        "hedge": hedge.verdict.value,
+        "hedges_left": round(hedge.tokens_left, 2),
+    }
+    if hedge.is_hedged:
+        fields["hedge_winner"] = hedge.winner or "none"
+        fields["hedge_saved_ms"] = _milliseconds(hedge.saved_s)
+    return fields
+
+
 def _milliseconds(seconds):
     return round(seconds * 1000, 1)
--- a/medlarhollow/entry/slot.py
+++ b/medlarhollow/entry/slot.py
@@ -39,6 +39,7 @@
         self._selected_at = self._started_at = clock.monotonic()
         self._result = AttemptResult.CANCELLED
         self._latency_s = None
+        self._is_released = False
 
     @property
     def address(self):
@@ -60,6 +61,11 @@
         """Whether the server is an entry VM of another data centre."""
         return self._assignment.remote
 
+    @property
+    def started_at(self):
+        """Monotonic time in seconds at which the attempt was started."""
+        return self._started_at
+
     @property
     def latency_s(self):
         """Float or None : seconds until the response head or the end."""
@@ -91,13 +97,36 @@
             self._result = AttemptResult.REFUSED
         if isinstance(outcome, Answered) and outcome.status >= _SERVER_ERROR:
             self._result = AttemptResult.ERROR
+        if not self.remote:
+            self._vm.hedging.record_outcome(
+                self._route.service,
+                self._assignment.version,
+                outcome,
+                clock.monotonic(),
+            )
 
     def mark_truncated(self):
         """Record that the response ended early."""
         self._result = AttemptResult.ERROR
 
+    def mark_superseded(self, is_slow):
+        """Record that the other attempt of the request was answered first.
+
+        Parameters
+        ----------
+        is_slow : bool
+            Whether the attempt took longer than most of its kind, so that its
+            time so far counts as a sample.
+        """
+        self._latency_s = clock.monotonic() - self._started_at
+        if is_slow:
+            self._result = AttemptResult.SUPERSEDED
+
     def release(self):
-        """Release the slot and report the result."""
+        """Release the slot and report the result, unless that was done."""
+        if self._is_released:
+            return
+        self._is_released = True
         now = clock.monotonic()
         latency_s = self._latency_s
         if latency_s is None:
@@ -107,11 +136,15 @@
         )
         if self.remote or self._result is AttemptResult.CANCELLED:
             return
+        is_slow = latency_s > self._vm.settings.entry.slow_answer_s
+        if self._result is AttemptResult.SUPERSEDED and not is_slow:
+            # Whether it would have become slow is unknown.
+            return
         self._vm.version_selector.record_attempt(
             self._route.service,
             self._assignment.version,
             self._route.path_prefix,
             self._result is AttemptResult.ERROR,
-            latency_s > self._vm.settings.entry.slow_answer_s,
+            is_slow,
             self._result in _UNRESPONSIVE,
         )
--- a/medlarhollow/entry/vm.py
+++ b/medlarhollow/entry/vm.py
@@ -9,6 +9,7 @@
 from ..membership import LookupOrder
 from ..messages.records import ErrorKind
 from ..moves import VersionSelector
+from ..requests import Hedging
 from ..requests import RetryBudget
 from ..settings import Settings
 from ..steering import CallerRegions
@@ -56,6 +57,8 @@
         Drain state of this VM.
     retry_budget : RetryBudget
         Retries allowed per service.
+    hedging : Hedging
+        Decides on second attempts while the first one runs.
     caller_regions : CallerRegions
         Regions of callers by client block.
     lookup_order : LookupOrder
@@ -89,6 +92,12 @@
             takes_self=True,
         )
     )
+    hedging: Hedging = attrs.field(
+        default=attrs.Factory(
+            lambda self: Hedging(self.settings, self.retry_budget),
+            takes_self=True,
+        )
+    )
     caller_regions: CallerRegions = attrs.field(
         default=attrs.Factory(
             lambda self: CallerRegions(self.state_cache), takes_self=True
--- a/medlarhollow/requests/hedging.py
+++ b/medlarhollow/requests/hedging.py
@@ -145,7 +145,10 @@
     @property
     def tokens(self):
         """Dict of str to float : second attempts left, by service."""
-        return {service: self.tokens_of(service) for service in self._levels}
+        # Metrics are exported by another thread.
+        return {
+            service: self.tokens_of(service) for service in tuple(self._levels)
+        }
 
     def tokens_of(self, service):
         """Return the second attempts to a service that may start now."""
--- a/medlarhollow/telemetry/metrics.py
+++ b/medlarhollow/telemetry/metrics.py
@@ -44,6 +44,18 @@
         "Requests rejected for want of tokens.",
         ("account",),
     ),
+    "hedges": (
+        "medlarhollow.hedges",
+        "{request}",
+        "Requests by the use of a second attempt, or why there was none.",
+        ("service", "result"),
+    ),
+    "hedge_saved": (
+        "medlarhollow.hedges.saved",
+        "s",
+        "Estimated time saved by second attempts.",
+        ("service",),
+    ),
     "sync_bytes": (
         "medlarhollow.sync.bytes",
         "By",
@@ -59,6 +71,7 @@
 }
 GAUGES = {
     "queue_length": ("medlarhollow.queue.length", "{request}"),
+    "hedges_left": ("medlarhollow.hedges.left", "{request}"),
     "in_flight": ("medlarhollow.requests.in_flight", "{request}"),
     "freshness_age": ("medlarhollow.freshness.age", "s"),
     "revision": ("medlarhollow.revision", "1"),
--- a/medlarhollow/telemetry/telemetry.py
+++ b/medlarhollow/telemetry/telemetry.py
@@ -166,6 +166,25 @@
         if self._is_collecting:
             self._metrics.increment("refused", (account,))
 
+    def count_hedge(self, service, result, saved_s):
+        """Count one request that was sent while second attempts are on.
+
+        Parameters
+        ----------
+        service : str
+            Service of the request.
+        result : str
+            ``first`` or ``second``, by the attempt that was used, ``hedged``
+            if neither was, or why there was no second attempt.
+        saved_s : float
+            Estimated time saved, in seconds.
+        """
+        if not self._is_collecting:
+            return
+        self._metrics.increment("hedges", (service, result))
+        if saved_s:
+            self._metrics.increment("hedge_saved", (service,), saved_s)
+
     def count_sync_bytes(self, count, direction):
         """Count bytes of Sync messages, ``sent`` or ``received``."""
         if self._is_collecting:
