--- a/medlarhollow/entry/slot.py
+++ b/medlarhollow/entry/slot.py
@@ -42,6 +42,7 @@
         self._result = AttemptResult.CANCELLED
         self._latency_s = None
         self._usage_attempt = None
+        self._is_released = False
 
     @property
     def address(self):
@@ -63,6 +64,11 @@
         """Whether the server is an entry VM of another data centre."""
         return self._assignment.remote
 
+    @property
+    def started_at(self):
+        """Monotonic time in seconds at which the attempt was started."""
+        return self._started_at
+
     @property
     def latency_s(self):
         """Float or None : seconds until the response head or the end."""
@@ -101,13 +107,36 @@
         if isinstance(outcome, Answered) and outcome.status >= _SERVER_ERROR:
             self._result = AttemptResult.ERROR
         self._end_usage(may_have_run(outcome))
+        if not self.remote:
+            self._vm.hedging.record_outcome(
+                self._route.service,
+                self._assignment.version,
+                outcome,
+                clock.monotonic(),
+            )
 
     def mark_truncated(self):
         """Record that the response ended early."""
         self._result = AttemptResult.ERROR
 
+    def mark_superseded(self, is_slow):
+        """Record that the other attempt of the request was answered first.
+
+        Parameters
+        ----------
+        is_slow : bool
+            Whether the attempt took longer than most of its kind, so that its
+            time so far counts as a sample.
+        """
+        self._latency_s = clock.monotonic() - self._started_at
+        if is_slow:
+            self._result = AttemptResult.SUPERSEDED
+
     def release(self):
-        """Release the slot and report the result."""
+        """Release the slot and report the result, unless that was done."""
+        if self._is_released:
+            return
+        self._is_released = True
         # Without an outcome, the attempt was cancelled after it was started.
         self._end_usage(True)
         now = clock.monotonic()
@@ -119,12 +148,16 @@
         )
         if self.remote or self._result is AttemptResult.CANCELLED:
             return
+        is_slow = latency_s > self._vm.settings.entry.slow_answer_s
+        if self._result is AttemptResult.SUPERSEDED and not is_slow:
+            # Whether it would have become slow is unknown.
+            return
         self._vm.version_selector.record_attempt(
             self._route.service,
             self._assignment.version,
             self._route.path_prefix,
             self._result is AttemptResult.ERROR,
-            latency_s > self._vm.settings.entry.slow_answer_s,
+            is_slow,
             self._result in _UNRESPONSIVE,
         )
 
--- a/medlarhollow/entry/tests/test_usage.py
+++ b/medlarhollow/entry/tests/test_usage.py
@@ -38,6 +38,10 @@
         self.dispatcher = self
         self.version_selector = self
         self.settings = make_settings()
+        self.hedging = self
+
+    def record_outcome(self, *arguments):
+        pass
 
     def release(self, *arguments):
         pass
--- a/medlarhollow/steering/servers/answer_times.py
+++ b/medlarhollow/steering/servers/answer_times.py
@@ -62,12 +62,36 @@
             typical_s = self.typical_s(*route, now)
             if not typical_s or answer_s <= typical_s:
                 return
-        is_repeated = not assignment.reason
+        self.add(*route, not assignment.reason, answer_s, now)
+
+    def add(self, service, path_prefix, is_repeated, answer_s, now):
+        """Add a sample.
+
+        Parameters
+        ----------
+        service, path_prefix : str
+            Service and route of the request.
+        is_repeated : bool
+            Kind of the run.
+        answer_s : float
+            Seconds between sending the request and the response head.
+        now : float
+            Monotonic time in seconds.
+        """
         for kind in (is_repeated, None):
-            samples = self._samples.setdefault((*route, kind), _Samples())
+            key = (service, path_prefix, kind)
+            samples = self._samples.setdefault(key, _Samples())
             samples.times.append((now, answer_s))
 
-    def quantile(self, service, path_prefix, is_repeated, fraction, now):
+    def quantile(
+        self,
+        service,
+        path_prefix,
+        is_repeated,
+        fraction,
+        now,
+        min_samples=_MIN_SAMPLES,
+    ):
         """Return a quantile of the recent times of one kind of run.
 
         Parameters
@@ -80,6 +104,8 @@
             Part of the runs that take no longer, from 0 to 1.
         now : float
             Monotonic time in seconds.
+        min_samples : int
+            Number of recent samples that are required.
 
         Returns
         -------
@@ -92,11 +118,12 @@
         if now - samples.computed_at >= _REFRESH_S:
             samples.quantiles.clear()
             samples.computed_at = now
-        if fraction not in samples.quantiles:
-            samples.quantiles[fraction] = _quantile(
-                samples.times, fraction, now
+        key = (fraction, min_samples)
+        if key not in samples.quantiles:
+            samples.quantiles[key] = _quantile(
+                samples.times, fraction, now, min_samples
             )
-        return samples.quantiles[fraction]
+        return samples.quantiles[key]
 
     def typical_s(self, service, path_prefix, now):
         """Return the median of all recent runs of a route in seconds.
@@ -124,13 +151,13 @@
         }
 
 
-def _quantile(times, fraction, now):
+def _quantile(times, fraction, now, min_samples):
     recent = [
         answer_s
         for recorded_at, answer_s in times
         if now - recorded_at <= _MAX_AGE_S
     ]
-    if len(recent) < _MIN_SAMPLES:
+    if len(recent) < min_samples:
         return None
     if fraction == 0.5:
         return statistics.median(recent)
