Show the limit of requests in flight to operators

Cause: an operator could not see whether a VM holds requests back because the servers of a service report long queues.

--- a/medlarhollow/daemon/gauges.py
+++ b/medlarhollow/daemon/gauges.py
@@ -4,6 +4,7 @@
 from ..messages.records import MoveState
 
 __all__ = [
+    "register_entry_gauges",
     "read_division_steps",
     "read_move_fractions",
     "register_gauges",
@@ -39,6 +40,20 @@
     )
 
 
+def register_entry_gauges(telemetry, vm):
+    """Register the gauges of an entry VM.
+
+    Parameters
+    ----------
+    telemetry : Telemetry
+        Reads them at each export, on another thread.
+    vm : EntryVm
+        Components of the entry VM.
+    """
+    telemetry.register_gauge("queue_length", lambda: vm.queued)
+    telemetry.register_gauge("window_limit", vm.dispatcher.list_window_limits)
+
+
 def read_move_fractions(state):
     """Return the fraction of each move in progress by service."""
     return {
--- a/medlarhollow/daemon/process.py
+++ b/medlarhollow/daemon/process.py
@@ -39,9 +39,12 @@
 from ..usage.counter import UsageCounter
 from ..usage.fleet_clock import FleetClock
 from ..usage.totals import UsageTotals
+from .activity import run_with_activity
+from .activity import serve_with_activity
 from .connection_limits import ConnectionLimits
 from .fleet_service import FleetService
 from .frontend import Frontend
+from .gauges import register_entry_gauges
 from .gauges import register_gauges
 from .http import HttpServer
 from .load_monitor import LoadMonitor
@@ -168,7 +171,7 @@
         _LOG.info("daemon: started")
         async with asyncio.TaskGroup() as group:
             background = [
-                group.create_task(_run_with_activity(activity, work))
+                group.create_task(run_with_activity(activity, work))
                 for activity, work in self._list_background_work()
             ]
             aborted = await self._serve_http()
@@ -360,7 +363,7 @@
     def _make_http_servers(self, client):
         settings = self._settings
         vm = self._make_entry_vm(client)
-        self._telemetry.register_gauge("queue_length", lambda: vm.queued)
+        register_entry_gauges(self._telemetry, vm)
         self._telemetry.register_gauge(
             "hedges_left", lambda: vm.hedging.tokens
         )
@@ -378,7 +381,7 @@
         listeners += make_metrics_listeners(settings, self._telemetry)
         return [
             HttpServer(
-                _with_activity(listener.activity, listener.app),
+                serve_with_activity(listener.activity, listener.app),
                 listener.address,
                 settings.entry.drain_limit_s,
                 limits,
@@ -387,21 +390,6 @@
         ]
 
 
-async def _run_with_activity(activity, work):
-    set_activity(activity)
-    await work
-
-
-def _with_activity(activity, app):
-    """Return an application whose time is counted under an activity."""
-
-    async def serve(scope, receive, send):
-        set_activity(activity)
-        await app(scope, receive, send)
-
-    return serve
-
-
 def _log_ignored_reload():
     """Ignore SIGHUP, whose default action would end the process."""
     _LOG.info("daemon: SIGHUP ignored; changed settings apply after a restart")
--- a/medlarhollow/steering/dispatcher.py
+++ b/medlarhollow/steering/dispatcher.py
@@ -307,6 +307,10 @@
         """
         return self._local_load.read(now)
 
+    def list_window_limits(self):
+        """Return the limits of requests in flight that apply, by pool."""
+        return self._pools.list_window_limits()
+
     def grant_credit(self, request, now):
         """Grant credit for requests from another data centre.
 
@@ -320,7 +324,6 @@
         Returns
         -------
         CreditResponse
-            The granted credit or the failure.
         """
         return self._credit_grants.grant(request, now)
 
--- a/medlarhollow/steering/queueing/pools.py
+++ b/medlarhollow/steering/queueing/pools.py
@@ -1,5 +1,7 @@
 """Pools by service and version."""
 
+import math
+
 from ..servers.answer_times import AnswerTimes
 from .order import make_order
 from .pool import Pool
@@ -85,6 +87,14 @@
         """Return the pools in use."""
         return list(self._pools.values())
 
+    def list_window_limits(self):
+        """Return the finite limits of requests in flight by pool."""
+        return {
+            f"{service} {version}": pool.window.limit
+            for (service, version), pool in tuple(self._pools.items())
+            if math.isfinite(pool.window.limit)
+        }
+
     def evict_unused(self, now):
         """Decay the remote fractions and discard unused pools."""
         for key, pool in list(self._pools.items()):
