Test the end of hedged attempts within half a second

Cause: one test of hedging failed now and then, since its servers announce themselves once and their leases end after 3 s. Other tests also passed if the attempt that is not used was not closed (it was given up later), or if only the last outcome counted as "may have run".

Change: leases of 60 s in that test; connections must be closed sooner than a silent server is given up; a rejection after an attempt that may have run; the choice between two failures.

--- a/medlarhollow/entry/tests/test_hedging.py
+++ b/medlarhollow/entry/tests/test_hedging.py
@@ -20,6 +20,8 @@
 from .hedging_support import TYPICAL_S
 
 CLOSED_ADDRESS = "127.0.0.1:1"
+# Before a server that stays silent is given up, half of the time left.
+SOON_S = 0.5
 
 
 @pytest.fixture
@@ -46,7 +48,7 @@
         assert (await entry.call())[::2] == (200, b"second")
         assert clock.monotonic() - started_at < 0.8
         # The attempt that is not used is closed at once.
-        await eventually(lambda: first.closed == 1)
+        await eventually(lambda: first.closed == 1, SOON_S)
         await eventually(
             lambda: entry.dispatcher.released == ["superseded", "ok"]
         )
@@ -68,7 +70,7 @@
     second = FakeBackend(never_respond)
     async with run_hedging(first, second) as entry:
         assert (await entry.call())[::2] == (200, b"first")
-        await eventually(lambda: second.closed == 1)
+        await eventually(lambda: second.closed == 1, SOON_S)
         # The time of a second attempt that was cut short is no sample.
         await eventually(
             lambda: sorted(entry.dispatcher.released) == ["cancelled", "ok"]
@@ -240,6 +242,13 @@
             502,
             "unknown",
         ),
+        (
+            fail_later(
+                0.4, respond(status=FULL, headers=SEAL + "X-Not-Run: 1\r\n")
+            ),
+            502,
+            "unknown",
+        ),
         (respond(b"busy", FULL, SEAL), 503, None),
     ],
 )
@@ -281,7 +290,7 @@
         )
         await eventually(lambda: second.requests)
         writer.close()
-        await eventually(lambda: first.closed == second.closed == 1)
+        await eventually(lambda: first.closed == second.closed == 1, SOON_S)
         assert entry.dispatcher.released == ["cancelled"] * 2
 
 
@@ -293,7 +302,7 @@
         )
         await eventually(lambda: first.requests)
         writer.close()
-        await eventually(lambda: first.closed == 1)
+        await eventually(lambda: first.closed == 1, SOON_S)
         await asyncio.sleep(2 * TYPICAL_S)
         assert entry.dispatcher.released == ["cancelled"]
     assert not second.requests
--- a/medlarhollow/entry/tests/test_hedging_limits.py
+++ b/medlarhollow/entry/tests/test_hedging_limits.py
@@ -5,7 +5,12 @@
 import pytest
 
 from medlarhollow import clock
+from medlarhollow.entry.attempt import Attempt
+from medlarhollow.entry.hedging import _choose_failure
+from medlarhollow.requests import Answered
+from medlarhollow.requests import NotSent
 from medlarhollow.requests import Refused
+from medlarhollow.requests import Unanswered
 
 from .fakes import eventually
 from .fakes import FakeBackend
@@ -180,3 +185,20 @@
         assert entry.vm.hedging.tokens["plots"] < 1.0
     # Those of the 20 requests before and of these 40.
     assert 1 <= len(second.requests) <= 6
+
+
+@pytest.mark.parametrize(
+    ("outcomes", "chosen"),
+    [
+        ([Unanswered("silent"), NotSent("closed")], 0),
+        ([NotSent("closed"), Unanswered("silent")], 1),
+        ([Refused("full"), Answered(503)], 1),
+        ([Answered(502), Answered(503)], 0),
+        ([NotSent("closed"), NotSent("closed")], 0),
+    ],
+)
+def test_failure_that_decides_on_a_retry(outcomes, chosen):
+    """Guards the retry budget, which failed connects do not spend, and a
+    response that can be passed on."""
+    ended = [Attempt(None, outcome) for outcome in outcomes]
+    assert _choose_failure(ended) is ended[chosen]
--- a/medlarhollow/entry/tests/test_hedging_slots.py
+++ b/medlarhollow/entry/tests/test_hedging_slots.py
@@ -37,7 +37,8 @@
 
 @contextlib.asynccontextmanager
 async def run_hedging(*backends, **dialect):
-    async with run_entry(*backends) as entry:
+    # Servers announce themselves only once here.
+    async with run_entry(*backends, lease_s=60.0) as entry:
         entry.vm.dialect = attrs.evolve(DIALECT, **dialect)
         settings = attrs.evolve(
             entry.settings,
