Call the limit of requests in flight by its usual name

Cause: "window" is the interval of a usage report in this project; the limit of requests in flight at a pool is a concurrency limit.

Result: the tests of steering and telemetry pass.

--- a/medlarhollow/daemon/gauges.py
+++ b/medlarhollow/daemon/gauges.py
@@ -51,7 +51,9 @@
         Components of the entry VM.
     """
     telemetry.register_gauge("queue_length", lambda: vm.queued)
-    telemetry.register_gauge("window_limit", vm.dispatcher.list_window_limits)
+    telemetry.register_gauge(
+        "concurrency_limit", vm.dispatcher.list_concurrency_limits
+    )
 
 
 def read_move_fractions(state):
--- a/medlarhollow/steering/assigner.py
+++ b/medlarhollow/steering/assigner.py
@@ -56,11 +56,11 @@
         Returns
         -------
         Assignment or None
-            None if no server is free, or the window of the pool is full, and
+            None if no server is free, or the limit of the pool is reached, and
             there is no credit.
         """
         chosen = None
-        if pool.window.permits(pool.in_flight):
+        if pool.concurrency.permits(pool.in_flight):
             chosen = self._placement.choose(candidates, request, now)
         if chosen is not None:
             self._slots.acquire(chosen.view, now)
@@ -92,7 +92,7 @@
             one takes few requests and answers slowly. Servers beyond those
             two do not have the object.
         """
-        if not pool.window.permits(pool.in_flight):
+        if not pool.concurrency.permits(pool.in_flight):
             return None
         candidates = self.candidates(pool, now)
         chosen = self._placement.choose(candidates, request, now)
@@ -114,7 +114,7 @@
         """Assign free slots and credit to the queued requests of a pool."""
         while len(pool.queue):
             candidates = self.candidates(pool, now)
-            can_send = pool.window.permits(pool.in_flight) and any(
+            can_send = pool.concurrency.permits(pool.in_flight) and any(
                 candidate.free_slots > 0 for candidate in candidates
             )
             if not can_send and not self._spill.remote_credit.available(
--- a/medlarhollow/steering/dispatcher.py
+++ b/medlarhollow/steering/dispatcher.py
@@ -211,7 +211,7 @@
         if pool is None:
             return
         if result is AttemptResult.REFUSED:
-            pool.window.record_refusal(pool.in_flight)
+            pool.concurrency.record_refusal(pool.in_flight)
         pool.in_flight = max(0, pool.in_flight - 1)
         # A superseded attempt took at least this long; without its time, the
         # slowest runs would be missing from the quantiles.
@@ -243,7 +243,7 @@
         self._slots.record_load(assignment.server.server_id, load, now)
         pool = self._pools.get(assignment.server.service, assignment.version)
         if pool is not None:
-            pool.window.record_load(load, pool.in_flight)
+            pool.concurrency.record_load(load, pool.in_flight)
 
     def record_pause(self, assignment, pause_s, now):
         """Record that a server wants no requests from this VM for a while.
@@ -307,9 +307,9 @@
         """
         return self._local_load.read(now)
 
-    def list_window_limits(self):
+    def list_concurrency_limits(self):
         """Return the limits of requests in flight that apply, by pool."""
-        return self._pools.list_window_limits()
+        return self._pools.list_concurrency_limits()
 
     def grant_credit(self, request, now):
         """Grant credit for requests from another data centre.
--- a/medlarhollow/steering/queueing/window.py
+++ b/medlarhollow/steering/queueing/concurrency.py
@@ -15,7 +15,7 @@
 from .order import ByArrival
 from .order import ByObjective
 
-__all__ = ["ConcurrencyWindow", "UnlimitedWindow", "make_window"]
+__all__ = ["ConcurrencyLimit", "Unlimited", "make_limit"]
 
 # Change of the limit with each response of a server whose queue is short or
 # long. The limit is stable while one in three responses reports a long queue,
@@ -33,7 +33,7 @@
 
 
 @attrs.frozen
-class UnlimitedWindow:
+class Unlimited:
     """Permit any number of requests."""
 
     limit = math.inf
@@ -50,7 +50,7 @@
 
 
 @attrs.define
-class ConcurrencyWindow:
+class ConcurrencyLimit:
     """Permit as many requests as keep the queues of servers short.
 
     Attributes
@@ -106,8 +106,8 @@
 
 
 @functools.singledispatch
-def make_window(order):
-    """Return the window of a pool whose queue has an order.
+def make_limit(order):
+    """Return the concurrency limit of a pool whose queue has an order.
 
     Parameters
     ----------
@@ -117,11 +117,11 @@
     raise TypeError(f"not an order of a queue: {order!r}")
 
 
-@make_window.register
+@make_limit.register
 def _unlimited(order: ByArrival):
-    return UnlimitedWindow()
+    return Unlimited()
 
 
-@make_window.register
+@make_limit.register
 def _limited(order: ByObjective):
-    return ConcurrencyWindow()
+    return ConcurrencyLimit()
--- a/medlarhollow/steering/queueing/pool.py
+++ b/medlarhollow/steering/queueing/pool.py
@@ -5,13 +5,13 @@
 from ...errors import fail
 from ...messages.records import ErrorKind
 from ..servers.answer_times import AnswerTimes
+from .concurrency import make_limit
 from .order import ByArrival
 from .order import find_late_at
 from .order import find_latest_start
 from .queue import FairQueue
 from .queue import LATE_INTERVAL
 from .queue import list_ranks_up_to
-from .window import make_window
 
 __all__ = ["Pool", "WaitingRequest"]
 
@@ -61,7 +61,7 @@
         self.version = version
         self.queue = FairQueue(limit)
         self._order = order or ByArrival()
-        self.window = make_window(self._order)
+        self.concurrency = make_limit(self._order)
         self._answer_times = answer_times or AnswerTimes()
         self.in_flight = 0
         self.used_at = 0.0
@@ -211,7 +211,7 @@
                 / max(1, count)
                 for server_id, count in in_flight.items()
             )
-            wait_s = max(wait_s, self._wait_for_window_s(slot_request))
+            wait_s = max(wait_s, self._wait_for_limit_s(slot_request))
             if now + wait_s < self.late_at(slot_request, now):
                 return wait_s
             return self._latency_s * min(
@@ -226,12 +226,12 @@
         ahead = self.queue.count_ahead(slot_request.rank, slot_request.account)
         return ahead * self._latency_s / self.in_flight
 
-    def _wait_for_window_s(self, slot_request):
-        """Return the expected wait until the window permits a request."""
-        if self.window.permits(self.in_flight):
+    def _wait_for_limit_s(self, slot_request):
+        """Return the expected wait until the limit permits a request."""
+        if self.concurrency.permits(self.in_flight):
             return 0.0
         ahead = self.queue.count_ahead(slot_request.rank, slot_request.account)
-        return (ahead + 1) * self._latency_s / self.window.limit
+        return (ahead + 1) * self._latency_s / self.concurrency.limit
 
     def _count_ahead_at(self, server_id, slot_request, now):
         """Return the number of requests ahead of a new one at a server."""
--- a/medlarhollow/steering/queueing/pools.py
+++ b/medlarhollow/steering/queueing/pools.py
@@ -87,12 +87,12 @@
         """Return the pools in use."""
         return list(self._pools.values())
 
-    def list_window_limits(self):
+    def list_concurrency_limits(self):
         """Return the finite limits of requests in flight by pool."""
         return {
-            f"{service} {version}": pool.window.limit
+            f"{service} {version}": pool.concurrency.limit
             for (service, version), pool in tuple(self._pools.items())
-            if math.isfinite(pool.window.limit)
+            if math.isfinite(pool.concurrency.limit)
         }
 
     def evict_unused(self, now):
--- a/medlarhollow/steering/tests/test_window.py
+++ b/medlarhollow/steering/tests/test_concurrency.py
@@ -1,6 +1,6 @@
 """Load of many VMs on the same servers, played in virtual time.
 
-Each VM has the real queue, pool, order and window; the servers are queues of
+Each VM has the real queue, pool, order and limit; the servers are queues of
 a fixed length that serve in order of arrival and refuse when they are full.
 """
 
@@ -17,13 +17,13 @@
 from medlarhollow.messages.records import Route
 from medlarhollow.steering import ServerLoad
 from medlarhollow.steering import SlotRequest
+from medlarhollow.steering.queueing.concurrency import ConcurrencyLimit
+from medlarhollow.steering.queueing.concurrency import make_limit
+from medlarhollow.steering.queueing.concurrency import Unlimited
 from medlarhollow.steering.queueing.order import ByArrival
 from medlarhollow.steering.queueing.order import ByObjective
 from medlarhollow.steering.queueing.pool import Pool
 from medlarhollow.steering.queueing.pool import WaitingRequest
-from medlarhollow.steering.queueing.window import ConcurrencyWindow
-from medlarhollow.steering.queueing.window import make_window
-from medlarhollow.steering.queueing.window import UnlimitedWindow
 
 SLOTS = 4
 SERVER_QUEUE = 12
@@ -96,7 +96,7 @@
             self.count(ticket.item.request, "rejected")
 
     def send(self, now, pool):
-        while pool.window.permits(pool.in_flight):
+        while pool.concurrency.permits(pool.in_flight):
             ticket = pool.queue.pop(lambda item: True, now)
             if ticket is None:
                 return
@@ -114,7 +114,7 @@
             server.waiting.append((pool, request))
             self.longest_queues.append((now, len(server.waiting)))
         else:
-            pool.window.record_refusal(pool.in_flight)
+            pool.concurrency.record_refusal(pool.in_flight)
             pool.in_flight -= 1
             self.count(request, "refused")
 
@@ -127,7 +127,7 @@
         if server.waiting:
             server.running += 1
             self.at(now + RUN_S, self.end, *server.waiting.popleft(), server)
-        pool.window.record_load(server.load, pool.in_flight)
+        pool.concurrency.record_load(server.load, pool.in_flight)
         pool.in_flight -= 1
         self.send(now, pool)
 
@@ -170,28 +170,28 @@
 
 @pytest.mark.parametrize("vms", [4, 16, 64])
 def test_slots_are_used_whatever_the_number_of_vms(vms):
-    """Guards against windows that leave slots empty in an overload."""
+    """Guards against limits that leave slots empty in an overload."""
     fleet = Fleet(ByObjective(), vms).play(2.0)
     served = fleet.total("in time") + fleet.total("late")
     capacity = len(fleet.servers) * SLOTS / RUN_S * 8.0
     assert served > 0.85 * capacity
 
 
-def test_window_limits_nothing_while_there_is_room():
-    """Guards ordinary load: no request waits for the window."""
+def test_concurrency_limits_nothing_while_there_is_room():
+    """Guards ordinary load: no request waits for the limit."""
     fleet = Fleet(ByObjective()).play(0.6)
     assert fleet.total("rejected") == fleet.total("refused") == 0
     assert fleet.total("in time") > 0.97 * sum(fleet.outcomes.values())
 
 
-def test_window_opens_again_after_an_overload():
+def test_limit_rises_again_after_an_overload():
     """Guards callers after a burst, and a VM whose servers were replaced."""
-    window = ConcurrencyWindow()
+    limit = ConcurrencyLimit()
     for _ in range(100):
-        window.record_refusal(6)
-    assert window.limit == 1.0
+        limit.record_refusal(6)
+    assert limit.limit == 1.0
     for _ in range(200):
-        window.record_load(ServerLoad(1, 0, 4), math.ceil(window.limit))
-    assert window.limit > 10
-    assert make_window(ByArrival()) == UnlimitedWindow()
-    assert UnlimitedWindow().permits(10**6)
+        limit.record_load(ServerLoad(1, 0, 4), math.ceil(limit.limit))
+    assert limit.limit > 10
+    assert make_limit(ByArrival()) == Unlimited()
+    assert Unlimited().permits(10**6)
--- a/medlarhollow/telemetry/metrics.py
+++ b/medlarhollow/telemetry/metrics.py
@@ -83,7 +83,7 @@
     "revision": ("medlarhollow.revision", "1"),
     "move_fraction": ("medlarhollow.move.fraction", "1"),
     "division_steps": ("medlarhollow.division.steps", "{step}"),
-    "window_limit": ("medlarhollow.window.limit", "{request}"),
+    "concurrency_limit": ("medlarhollow.concurrency.limit", "{request}"),
     "processor_time": ("medlarhollow.processor.time", "s"),
     "dropped_records": ("medlarhollow.exchange.dropped_records", "{record}"),
     "loop_lag": ("medlarhollow.loop.lag", "s"),
