Reject requests at once that would wait in vain for the concurrency limit

Cause: a request for an object whose server had no queue was let in although many requests waited for the limit of its pool, and was rejected only once it had become late.

Change: the expected wait counts the requests that wait for the limit, for those that can be in time and for the others.

Result: the new test fails before; the tests of steering pass.

--- a/medlarhollow/steering/queueing/pool.py
+++ b/medlarhollow/steering/queueing/pool.py
@@ -214,13 +214,14 @@
             wait_s = max(wait_s, self._wait_for_limit_s(slot_request))
             if now + wait_s < self.late_at(slot_request, now):
                 return wait_s
-            return self._latency_s * min(
+            wait_s = self._latency_s * min(
                 self._count_ahead_of_late_at(
                     server_id, slot_request, max(1, count), now
                 )
                 / max(1, count)
                 for server_id, count in in_flight.items()
             )
+            return max(wait_s, self._late_wait_for_limit_s(now))
         if not self.in_flight:
             return 0.0
         ahead = self.queue.count_ahead(slot_request.rank, slot_request.account)
@@ -233,6 +234,16 @@
         ahead = self.queue.count_ahead(slot_request.rank, slot_request.account)
         return (ahead + 1) * self._latency_s / self.concurrency.limit
 
+    def _late_wait_for_limit_s(self, now):
+        """Return the same for a request that cannot be in time."""
+        if self.concurrency.permits(self.in_flight):
+            return 0.0
+        late = self.queue.count_late(now)
+        starts = _count_starts_before_late(
+            late, len(self.queue) - late, self.concurrency.limit
+        )
+        return (starts + 1) * self._latency_s / self.concurrency.limit
+
     def _count_ahead_at(self, server_id, slot_request, now):
         """Return the number of requests ahead of a new one at a server."""
         ranks = list_ranks_up_to(slot_request.rank)
@@ -242,20 +253,14 @@
         )
 
     def _count_ahead_of_late_at(self, server_id, slot_request, slots, now):
-        """Return the number of starts at a server before that of a late one.
-
-        Requests that can be in time get most starts. If more of them wait
-        than slots are in use, they will not be gone soon.
-        """
+        """Return the starts at a server before that of a late request."""
         ranks = list_ranks_up_to(slot_request.rank)
         late = sum(
             ticket.late_at <= now and ticket.priority in ranks
             for ticket in self._waiting.get(server_id, ())
         )
         timely = self._count_ahead_at(server_id, slot_request, now)
-        if timely > slots:
-            return (late + 1) * LATE_INTERVAL
-        return late + timely
+        return _count_starts_before_late(late, timely, slots)
 
     def latest_start_at(self, slot_request, now):
         """Return the latest time at which a request can usefully start.
@@ -325,3 +330,14 @@
         return fail(
             ErrorKind.OVERLOADED, f"the queue of '{self.service}' is full"
         )
+
+
+def _count_starts_before_late(late, timely, slots):
+    """Return the starts before that of a new request that cannot be in time.
+
+    Requests that can be in time get most starts. If more of them wait than
+    slots are in use, they will not be gone soon.
+    """
+    if timely > slots:
+        return (late + 1) * LATE_INTERVAL
+    return late + timely
--- a/medlarhollow/steering/queueing/queue.py
+++ b/medlarhollow/steering/queueing/queue.py
@@ -231,6 +231,21 @@
             for ticket in account_queue
         ]
 
+    def count_late(self, now):
+        """Return the number of queued requests that can no longer be in time.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic time in seconds.
+        """
+        return sum(
+            ticket.late_at <= now
+            for priority_class in self._classes.values()
+            for account_queue in priority_class.account_queues.values()
+            for ticket in account_queue
+        )
+
     def count_ahead(self, priority, account):
         """Return an upper bound of the requests served before a new one.
 
--- a/medlarhollow/steering/tests/test_concurrency.py
+++ b/medlarhollow/steering/tests/test_concurrency.py
@@ -184,6 +184,33 @@
     assert fleet.total("in time") > 0.97 * sum(fleet.outcomes.values())
 
 
+def test_request_that_cannot_be_in_time_is_told_so_at_once():
+    """Guards callers who would wait behind the limit and then be rejected."""
+    pool = Pool("plots", "1", 1000, ByObjective())
+    pool.record_latency(RUN_S)
+    pool.concurrency.limit = 2.0
+    pool.in_flight = 2
+    route = Route(service="plots", path_prefix="/plots")
+    request = SlotRequest(
+        route, "crew", DEADLINE_S, 0.0, objective_at=OBJECTIVE_S
+    )
+    for number in range(12):
+        other = attrs.evolve(request, account=f"a{number}")
+        pool.push(WaitingRequest(other, None, 0.0, (f"s{number}",)), 0.0)
+    # Nobody waits for the server of its object, but twelve for the limit.
+    assert pool.expected_wait_s(request, {"s-99": 0}, 0.0) > 0.5
+    for number in range(40):
+        late = attrs.evolve(
+            request, account=f"b{number}", objective_at=0.0, deadline_at=9.0
+        )
+        pool.push(WaitingRequest(late, None, 0.0, (f"t{number}",)), 0.0)
+    late = attrs.evolve(request, objective_at=0.0)
+    wait_s = pool.expected_wait_s(late, {"s-99": 0}, 0.0)
+    assert wait_s > DEADLINE_S
+    pool.in_flight = 1
+    assert pool.expected_wait_s(late, {"s-99": 0}, 0.0) == 0.0
+
+
 def test_limit_rises_again_after_an_overload():
     """Guards callers after a burst, and a VM whose servers were replaced."""
     limit = ConcurrencyLimit()
