--- a/review/12/case.py
+++ b/review/12/case.py
@@ -48,7 +48,7 @@
 
 
 async def download(fleet, reader, writer):
-    """Send one request on a kept connection; return the time it took."""
+    """Send one request; return the time it took, None without an answer."""
     request_id = uuid.uuid4().hex[:16]
     lines = [
         "GET /bundle/1 HTTP/1.1",
@@ -88,7 +88,7 @@
 
 
 async def use_connection(fleet, vm):
-    """Send requests one after the other on one connection."""
+    """Send one request on a new connection."""
     reader, writer = await asyncio.open_connection(vm.ip, fleet.ports["front"])
     try:
         return await download(fleet, reader, writer)
@@ -131,12 +131,16 @@
             vm = fleet.fronts[number % len(fleet.fronts)]
             times.append(await use_connection(fleet, vm))
         limit_s = TIMEOUT_S + ANSWER_WITHIN_S
-        missing = sum(took is None or took > limit_s for took in times)
+        open_at_timeout = sum(t is None or t > TIMEOUT_S for t in times)
+        missing = sum(t is None or t > limit_s for t in times)
         record.add(
-            f"{missing} of {REQUESTS} requests had no final answer "
-            f"{limit_s} s after they were sent"
+            f"of {REQUESTS} requests {open_at_timeout} had no final answer "
+            f"{TIMEOUT_S} s after they were sent, {missing} none after "
+            f"{limit_s} s"
         )
-        return missing >= 8 and missing > REQUESTS / 4
+        # Both rules: more than half of those that are still unanswered at
+        # the timeout; eight or more, and over a quarter.
+        return missing >= 8 and missing > open_at_timeout / 2
     finally:
         for target in targets:
             await target.stop()
