End the vote of a control replica that was replaced

Cause: a replica that is gone kept its vote for removal_s (12 s, anew with each leader), while its successor got one within 4 s. Ruled out: successors that join late; both were voters and had read the newest configuration back before the others were lost.

Change: the replica set names the data centre of a member and whether it is a successor that has replaced nobody yet. A leader removes a member that was silent for three election timeouts if a successor in its data centre holds all committed entries and a majority of the remaining voters responds. What is cut off or suspended without a successor keeps its vote as before.

--- a/medlarhollow/agreement/bootstrap.py
+++ b/medlarhollow/agreement/bootstrap.py
@@ -124,6 +124,7 @@
                 address=node.address,
                 incarnation=node.identity.incarnation,
                 voter=True,
+                data_centre=node.settings.vm.data_centre,
             ),
         )
 
--- a/medlarhollow/agreement/joining.py
+++ b/medlarhollow/agreement/joining.py
@@ -80,6 +80,8 @@
             name=node.identity.name,
             address=node.address,
             incarnation=node.identity.incarnation,
+            data_centre=node.settings.vm.data_centre,
+            successor=not node.identity.first_start,
         )
     )
     limit_s = _REQUEST_TIMEOUTS * node.settings.control.election_timeout_s
--- a/medlarhollow/agreement/leader.py
+++ b/medlarhollow/agreement/leader.py
@@ -4,7 +4,6 @@
 import logging
 import time
 
-import attrs
 from grpclib.exceptions import GRPCError
 from grpclib.exceptions import StreamTerminatedError
 
@@ -18,6 +17,7 @@
 from .node import Role
 from .progress import Progress
 from .replica_set import plan_removal
+from .replica_set import plan_succession
 from .replica_set import plan_vote_change
 from .replica_set import voters_of
 
@@ -37,6 +37,9 @@
 # In election timeouts: the response to the last chunk of a snapshot is sent
 # only after the state is restored.
 _SNAPSHOT_TIMEOUT_FACTOR = 10
+# In election timeouts: silence after which a replica with a successor is
+# removed. An election and the requests after it take less.
+_SUCCESSION_TIMEOUTS = 3
 
 
 def become_leader(node, now):
@@ -114,7 +117,7 @@
     for name in list(node.progress):
         current = node.progress[name].replica
         replica = followers.get(name)
-        if replica is not None and _same_except_vote(current, replica):
+        if replica is not None and _is_same_process(current, replica):
             node.progress[name].replica = replica
         else:
             del node.progress[name]
@@ -128,8 +131,11 @@
             )
 
 
-def _same_except_vote(current, other):
-    return attrs.evolve(current, voter=other.voter) == other
+def _is_same_process(current, other):
+    return (current.address, current.incarnation) == (
+        other.address,
+        other.incarnation,
+    )
 
 
 def _check_quorum(node, now):
@@ -148,7 +154,8 @@
 
 
 def _update_voters(node, now):
-    """Withdraw the vote after a disk loss; grant it after catching up."""
+    """Remove replaced replicas; change votes as progress requires."""
+    _remove_replaced(node, now)
     timeout_s = node.settings.control.election_timeout_s
     for progress in node.progress.values():
         if not node.may_change_replicas:
@@ -168,22 +175,53 @@
     _remove_unreachable(node, now)
 
 
+def _remove_replaced(node, now):
+    """Remove a silent replica whose successor has caught up."""
+    control = node.settings.control
+    if not control.removal_s or not node.may_change_replicas:
+        return
+    replicas = plan_succession(
+        node.log.replicas,
+        _list_silences(node, now),
+        _list_caught_up(node),
+        _SUCCESSION_TIMEOUTS * control.election_timeout_s,
+    )
+    if replicas is not None:
+        _log_removal(node, replicas, now, "which has a successor")
+        append_entry(node, new_replicas_entry(node, replicas))
+
+
 def _remove_unreachable(node, now):
     """Remove a replica unresponsive for `removal_s`, if that is set."""
     limit_s = node.settings.control.removal_s
     if not limit_s or not node.may_change_replicas:
         return
-    silent_s = {
-        name: progress.silent_s(now)
-        for name, progress in node.progress.items()
-    }
+    silent_s = _list_silences(node, now)
     replicas = plan_removal(node.log.replicas, silent_s, limit_s)
     if replicas is not None:
-        _log_removal(node, replicas, now)
+        _log_removal(node, replicas, now, "which is unresponsive")
         append_entry(node, new_replicas_entry(node, replicas))
 
 
-def _log_removal(node, replicas, now):
+def _list_silences(node, now):
+    return {
+        name: progress.silent_s(now)
+        for name, progress in node.progress.items()
+    }
+
+
+def _list_caught_up(node):
+    """Return the names of the replicas that hold all committed entries."""
+    followers = {
+        name
+        for name, progress in node.progress.items()
+        if progress.reported_incarnation == progress.replica.incarnation
+        and progress.match_index >= node.commit_index
+    }
+    return frozenset(followers | {node.identity.name})
+
+
+def _log_removal(node, replicas, now, reason):
     """Log which replica is removed and what is known of its silence."""
     kept = {replica.name for replica in replicas.replicas}
     for replica in node.log.replicas.replicas:
@@ -192,11 +230,12 @@
         progress = node.progress[replica.name]
         responded = progress.responded_at > float("-inf")
         _LOG.warning(
-            "agreement: removes replica %s at %s, a %s, sent to for %.3f s, "
-            "last response %s; %d voters remain",
+            "agreement: removes replica %s at %s, a %s %s, sent to for "
+            "%.3f s, last response %s; %d voters remain",
             replica.name,
             replica.address,
             "voter" if replica.voter else "non-voter",
+            reason,
             now - progress.started_at,
             f"{now - progress.responded_at:.3f} s ago"
             if responded
--- a/medlarhollow/agreement/replica_set.py
+++ b/medlarhollow/agreement/replica_set.py
@@ -4,7 +4,8 @@
 by one voter, so that their majorities overlap. A replica is added as a
 non-voter and becomes a voter when it has caught up. A replica that returns
 with an empty disk, and so with a new incarnation, loses its vote in one change
-and regains it in another.
+and regains it in another. A replica that is gone for good loses its place when
+its successor has caught up, so that the set does not grow by each replacement.
 """
 
 import attrs
@@ -14,11 +15,13 @@
 from ..messages.records import ErrorKind
 from ..messages.records import Replica
 from ..messages.records import ReplicaSet
+from .votes import quorum_size
 
 __all__ = [
     "find_replica",
     "plan_removal",
     "plan_requested_change",
+    "plan_succession",
     "plan_vote_change",
     "replace_replica",
     "voters_of",
@@ -86,14 +89,13 @@
             f"{requested.address}",
         )
     if current is not None:
-        return Ok(
-            replace_replica(
-                replicas, attrs.evolve(current, address=requested.address)
-            )
+        changed = attrs.evolve(
+            current,
+            address=requested.address,
+            data_centre=requested.data_centre or current.data_centre,
         )
-    new = Replica(
-        requested.name, requested.address, requested.incarnation, voter=False
-    )
+        return Ok(replace_replica(replicas, changed))
+    new = attrs.evolve(requested, voter=False)
     return Ok(replace_replica(replicas, new))
 
 
@@ -129,6 +131,61 @@
     return None
 
 
+def plan_succession(replicas, silent_s, caught_up, limit_s):
+    """Return the set without one replica that has a successor.
+
+    Parameters
+    ----------
+    replicas : ReplicaSet
+        The set in force; its entry is committed.
+    silent_s : dict of str to float
+        For each follower, the time in seconds since its last response.
+    caught_up : frozenset of str
+        Replicas that hold all committed entries.
+    limit_s : float
+        Time in seconds after which a replica that has a successor is removed.
+
+    Returns
+    -------
+    ReplicaSet or None
+        None if no replica is replaced, or if the remaining voters that respond
+        are no majority.
+
+    Notes
+    -----
+    A successor is a replica in the same data centre that was created after
+    the first start of the fleet. Each replaces one replica at most. A replica
+    that is only cut off or suspended has none, and keeps its place.
+
+    The successor gets its vote by :func:`plan_vote_change`, before or after
+    the removal. Between the two changes the set can lose as many replicas as
+    with the opposite order, for each number of voters.
+    """
+    lost = [
+        member
+        for member in replicas.replicas
+        if silent_s.get(member.name, 0.0) > limit_s
+    ]
+    responding = [member for member in replicas.replicas if member not in lost]
+    # Successors first, whose own predecessor is left to their successor.
+    lost.sort(
+        key=lambda member: (
+            not member.successor,
+            not member.voter,
+            -silent_s[member.name],
+        )
+    )
+    for member in lost:
+        successor = _find_successor(responding, member, caught_up)
+        if successor is None:
+            continue
+        heir = attrs.evolve(successor, successor=member.successor)
+        remaining = replace_replica(_without(replicas, member), heir)
+        if _has_quorum(remaining, responding):
+            return remaining
+    return None
+
+
 def plan_removal(replicas, silent_s, limit_s):
     """Return the set without one replica that is lost for good.
 
@@ -162,9 +219,36 @@
     responding = voters - sum(replica.voter for replica in lost)
     if first.voter and (voters <= _MIN_VOTERS or responding * 2 <= voters):
         return None
+    return _without(replicas, first)
+
+
+def _find_successor(responding, lost, caught_up):
+    """Return the replica that replaces a lost one, or None."""
+    return next(
+        (
+            member
+            for member in responding
+            if member.successor
+            and member.data_centre
+            and member.data_centre == lost.data_centre
+            and member.name in caught_up
+        ),
+        None,
+    )
+
+
+def _has_quorum(replicas, responding):
+    """Return whether the voters of a set that respond are a majority."""
+    names = {replica.name for replica in responding}
+    voters = voters_of(replicas)
+    present = sum(voter.name in names for voter in voters)
+    return present >= quorum_size(len(voters))
+
+
+def _without(replicas, replica):
     return ReplicaSet(
         replicas=tuple(
-            replica for replica in replicas.replicas if replica is not first
+            other for other in replicas.replicas if other.name != replica.name
         )
     )
 
@@ -174,13 +258,7 @@
         return fail(
             ErrorKind.NOT_FOUND, f"there is no replica '{requested.name}'"
         )
-    remaining = ReplicaSet(
-        replicas=tuple(
-            other
-            for other in replicas.replicas
-            if other.name != requested.name
-        )
-    )
+    remaining = _without(replicas, requested)
     if not voters_of(remaining):
         return fail(
             ErrorKind.CONFLICT,
--- a/medlarhollow/agreement/tests/fakes.py
+++ b/medlarhollow/agreement/tests/fakes.py
@@ -178,6 +178,9 @@
         self.network = FakeNetwork()
         self.names = list(names)
         self.bootstrapped = list(names)
+        # Replicas that start after the first start of the cluster.
+        self.successors = set()
+        self.data_centres = {}
         self.replicas = {}
         self.stopped = []
         self.control = {
@@ -192,13 +195,14 @@
         options = {
             "replicas": addresses,
             "data_dir": str(self.folder / name),
-            "bootstrap": "yes",
+            "bootstrap": "no" if name in self.successors else "yes",
             **self.control,
         }
         lines = "\n".join(f"{key} = {value}" for key, value in options.items())
+        data_centre = self.data_centres.get(name, "d")
         return parse_settings(
             f"[vm]\nname = {name}\ncluster = test\nregion = r\n"
-            f"data_centre = d\nroles = control\n"
+            f"data_centre = {data_centre}\nroles = control\n"
             f"[peer]\nlisten = {address_of(name)}\nsecret_file = unused\n"
             f"[admin]\ntokens_file = unused\n[control]\n{lines}\n",
             "test.ini",
--- a/medlarhollow/messages/records.py
+++ b/medlarhollow/messages/records.py
@@ -819,6 +819,8 @@
     address: str = ""
     incarnation: str = ""
     voter: bool = False
+    data_centre: str = ""
+    successor: bool = False
 
 
 @attrs.frozen
--- a/medlarhollow/modelcheck/__init__.py
+++ b/medlarhollow/modelcheck/__init__.py
@@ -7,6 +7,7 @@
 
 from .first_start import explore_first_start
 from .late_orders import explore_late_orders
+from .replacements import explore_replacements
 from .search import Exploration
 from .search import explore
 from .usage_reports import explore_usage_reports
@@ -16,5 +17,6 @@
     "explore",
     "explore_first_start",
     "explore_late_orders",
+    "explore_replacements",
     "explore_usage_reports",
 ]
--- a/medlarhollow/modelcheck/__main__.py
+++ b/medlarhollow/modelcheck/__main__.py
@@ -10,6 +10,7 @@
 from .late_orders import explore_late_orders
 from .late_orders import Guards
 from .order_kinds import ORDER_KINDS
+from .replacements import explore_replacements
 from .usage_reports import explore_usage_reports
 
 _WITHOUT_ONE = {
@@ -21,6 +22,18 @@
     "5 seeds": {"seeds": 5, "losses": 0, "restarts": 0},
 }
 
+_REPLACEMENTS = {
+    "3 replicas": {"replacements": 4, "outages": 2},
+    "4 replicas": {"size": 4, "replacements": 3, "outages": 1},
+    "5 replicas, 2 at a time": {"size": 5, "tolerance": 2, "catch_up_s": 6},
+    "6 replicas, 2 at a time": {
+        "size": 6,
+        "tolerance": 2,
+        "catch_up_s": 6,
+        "replacements": 4,
+        "outages": 0,
+    },
+}
 _USAGE_REPORTS = {
     "3 elections": {"losses": 0},
     "2 elections, 2 losses": {"elections": 2, "losses": 2},
@@ -62,6 +75,10 @@
         result = explore_first_start(**sizes, limit_states=options.states)
         _print(f"first start, {name}", result)
         is_violated |= bool(result.violation)
+    for name, sizes in _REPLACEMENTS.items():
+        result = explore_replacements(**sizes, limit_states=options.states)
+        _print(f"replacements, {name}", result)
+        is_violated |= bool(result.violation)
     for name, faults in _USAGE_REPORTS.items():
         result = explore_usage_reports(**faults, limit_states=options.states)
         _print(f"usage reports, {name}", result)
--- a/medlarhollow/modelcheck/tests/test_models.py
+++ b/medlarhollow/modelcheck/tests/test_models.py
@@ -6,6 +6,7 @@
 from medlarhollow.modelcheck import explore
 from medlarhollow.modelcheck import explore_first_start
 from medlarhollow.modelcheck import explore_late_orders
+from medlarhollow.modelcheck import explore_replacements
 from medlarhollow.modelcheck import explore_usage_reports
 from medlarhollow.modelcheck.late_orders import Guards
 from medlarhollow.modelcheck.order_kinds import ORDER_KINDS
@@ -103,6 +104,32 @@
     assert result.violation
 
 
+TWO_AT_A_TIME = {"tolerance": 2, "catch_up_s": 6, "outages": 0}
+
+
+@pytest.mark.parametrize(
+    "sizes",
+    [
+        {"size": 3, "replacements": 3, "outages": 1},
+        {"size": 4, "replacements": 2, "outages": 1},
+        {"size": 5, "replacements": 3, **TWO_AT_A_TIME},
+    ],
+)
+def test_replacements_leave_a_quorum(sizes):
+    result = explore_replacements(**sizes)
+    assert result.is_complete
+    assert not result.violation
+
+
+@pytest.mark.parametrize(
+    "sizes", [{"size": 3}, {"size": 6, "replacements": 4, **TWO_AT_A_TIME}]
+)
+def test_votes_of_replaced_replicas_end_the_quorum(sizes):
+    """Shows that the model finds the fault that the succession prevents."""
+    result = explore_replacements(**sizes, removes_replaced=False)
+    assert result.violation == "no quorum runs"
+
+
 @pytest.mark.parametrize(
     "faults",
     [
--- a/medlarhollow/settings/generated.py
+++ b/medlarhollow/settings/generated.py
@@ -313,7 +313,7 @@
                 type="float",
                 lowest=0.0,
                 highest=86400.0,
-                help="Time after which the leader removes an unresponsive replica; 0 to leave that to operators. A replica that returns joins again only with join.",
+                help="Time after which the leader removes an unresponsive replica; 0 to leave that to operators. A replica that was replaced by a new one in its data centre is removed after three election timeouts. A replica that returns joins again only with join.",
             ),
             Option(
                 name="heartbeat_s",
