Charge the framing of responses by the time it takes

Cause: the limit against endless framing passed 128 line ends in 50 ms per connection, also in bodies that have a length or end with the connection, which have no framing, and whatever the VM had to do. Ruled out: slow parsing; the VM was idle meanwhile.

Change: what is parsed until the end of a response without a length is charged with the time that it took, and all connections to backend servers share half of the time, with 10 ms ahead. Responses with a length are not charged. WorkPacer moves to a module of its own, since callers' and servers' connections use it.

The tests of endless responses pass with their bounds unchanged (72 tests of five files).

--- a/medlarhollow/daemon/http.py
+++ b/medlarhollow/daemon/http.py
@@ -6,13 +6,13 @@
 
 import uvicorn
 
+from ..pacing import WorkPacer
 from ..settings.generated import EntrySettings
 from ..transport import parse_address
 from .bounded_reader import BoundedReader
 from .bounded_reader import READ_BYTES
 from .protocol import HttpProtocol
 from .read_ahead import SharedReadAhead
-from .read_ahead import WorkPacer
 
 __all__ = ["HttpServer"]
 
--- a/medlarhollow/daemon/read_ahead.py
+++ b/medlarhollow/daemon/read_ahead.py
@@ -1,10 +1,8 @@
 """Limits that the connections of a listener share."""
 
-import math
-
 import attrs
 
-__all__ = ["SharedReadAhead", "WorkPacer"]
+__all__ = ["SharedReadAhead"]
 
 # Requests that wait behind others on their connections.
 _SHARED_READ_AHEAD_LIMIT = 1024
@@ -14,8 +12,6 @@
 _LARGE_BODY_BYTES = 262144
 # Bytes of all connections above which each is held to the smaller limit.
 _SHARED_BODY_BYTES = 16 * 1024 * 1024
-# Longest delay of a connection.
-_MAX_DELAY_S = 5.0
 
 
 @attrs.define
@@ -49,29 +45,3 @@
         if self.body_bytes >= _SHARED_BODY_BYTES:
             return held_bytes <= _BODY_BYTES
         return held_bytes <= _LARGE_BODY_BYTES
-
-
-@attrs.define
-class WorkPacer:
-    """Spread work of the connections of a listener that serves no request."""
-
-    _next_at: float = -math.inf
-
-    def reserve(self, interval_s, now):
-        """Return the delay of the next work of a connection.
-
-        Parameters
-        ----------
-        interval_s : float
-            Time in seconds that its last work takes from all connections.
-        now : float
-            Monotonic time in seconds.
-
-        Returns
-        -------
-        float
-            Seconds from now, up to `_MAX_DELAY_S`.
-        """
-        self._next_at = max(now, self._next_at) + interval_s
-        self._next_at = min(self._next_at, now + _MAX_DELAY_S)
-        return self._next_at - now
--- a/medlarhollow/daemon/tests/test_pipelining_limits.py
+++ b/medlarhollow/daemon/tests/test_pipelining_limits.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from medlarhollow.daemon.read_ahead import WorkPacer
 from medlarhollow.entry.tests.fakes import eventually
+from medlarhollow.pacing import WorkPacer
 
 from .test_http_protocol import GatedApp
 from .test_http_protocol import make_request
--- a/medlarhollow/entry/backend_client.py
+++ b/medlarhollow/entry/backend_client.py
@@ -6,6 +6,7 @@
 from yarl import URL
 
 from .. import clock
+from ..pacing import WorkPacer
 from ..requests import NotSent
 from ..requests import Unanswered
 from .framing_limits import HEAD_LIMIT_BYTES
@@ -66,6 +67,7 @@
         self._settings = settings
         self._pools = {}
         self._single_use = None
+        self._pacer = WorkPacer()
         # Monotonic time until which a server gets new connections only.
         self._new_connections_until = {}
 
@@ -195,7 +197,9 @@
             sock_connect=self._settings.backends.connect_timeout_s,
         )
         return aiohttp.ClientSession(
-            connector=ResponseConnector(limit=0, force_close=force_close),
+            connector=ResponseConnector(
+                self._pacer, limit=0, force_close=force_close
+            ),
             timeout=timeout,
             auto_decompress=False,
             # Cookies belong to callers and must not be shared between them.
--- a/medlarhollow/entry/response_boundary.py
+++ b/medlarhollow/entry/response_boundary.py
@@ -43,6 +43,11 @@
         self._left = None
         self._chunks = None
 
+    @property
+    def is_length_known(self):
+        """Whether the head was read, and gives the length of the body."""
+        return self._left is not None
+
     def count_own(self, data):
         """Return how many bytes of the next data belong to the response.
 
