Allow no region if the homes of route and account exclude each other

Cause: the homes are intersected, and an empty set meant "all regions" from admission to ranking. Ruled out: an older configuration on an entry VM, which would have given the route's home.

Change: None stands for all regions, and an empty set for none. Homes that exclude each other are rejected at admission: 503 no_region, not run, no Retry-After, both homes in the response and in the line of the log. On related paths the account's homes now bind requests that another entry VM forwarded, and homes bind spilling on credit.

--- a/medlarhollow/entry/admission.py
+++ b/medlarhollow/entry/admission.py
@@ -260,12 +260,13 @@
             "the route became non-idempotent; the request has no claim",
         )
     key_id = values[KEY_ID_HEADER] or ""
+    applied = _apply_account(vm, admission.slot_request, account)
+    if applied.is_err():
+        return applied
     return Ok(
         attrs.evolve(
             admission,
-            slot_request=attrs.evolve(
-                admission.slot_request, account=account, local_only=True
-            ),
+            slot_request=attrs.evolve(applied.ok_value, local_only=True),
             key_id=key_id,
             key_known=key_id in vm.state_cache.state.keys,
             forwarded=True,
@@ -285,12 +286,13 @@
         if parsed.is_err():
             return parsed
         idempotency_key = parsed.ok_value.text
+    applied = _apply_account(vm, admission.slot_request, checked.ok_value)
+    if applied.is_err():
+        return applied
     return Ok(
         attrs.evolve(
             admission,
-            slot_request=_apply_account(
-                vm, admission.slot_request, checked.ok_value
-            ),
+            slot_request=applied.ok_value,
             key=key,
             key_id=parse_key(key)[0],
             idempotency_key=idempotency_key,
@@ -314,29 +316,51 @@
         deadline_at,
         split_point,
         affinity=affinity and f"{route.path_prefix} {affinity}",
-        home_regions=frozenset(route.home_regions),
+        home_regions=frozenset(route.home_regions) or None,
         objective_at=min(deadline_at, now + (route.objective_s or math.inf)),
     )
 
 
 def _apply_account(vm, slot_request, name):
-    """Set the account, its priority and its home regions."""
+    """Set the account, its priority and its home regions.
+
+    Returns
+    -------
+    result.Result
+        ``Ok`` with the `SlotRequest`, or ``NO_REGION``.
+    """
     account = vm.state_cache.state.accounts.get(name)
     home_regions = slot_request.home_regions
     if account is not None and account.home_regions:
         account_regions = frozenset(account.home_regions)
         home_regions = (
-            home_regions & account_regions if home_regions else account_regions
+            account_regions
+            if home_regions is None
+            else home_regions & account_regions
         )
+        if not home_regions:
+            route = slot_request.route
+            return fail(
+                ErrorKind.NO_REGION,
+                f"route '{route.path_prefix}' is bound to "
+                f"{_list_names(route.home_regions)} and account '{name}' to "
+                f"{_list_names(account.home_regions)}; no region is allowed",
+            )
     priority = Priority.ORDINARY if account is None else account.priority
-    return attrs.evolve(
-        slot_request,
-        account=name,
-        home_regions=home_regions,
-        account_priority=priority,
+    return Ok(
+        attrs.evolve(
+            slot_request,
+            account=name,
+            home_regions=home_regions,
+            account_priority=priority,
+        )
     )
 
 
+def _list_names(names):
+    return ", ".join(sorted(names))
+
+
 def _confirm_denial(vm, result, now):
     """Return the result, or a failure that is not final if it may be wrong."""
     if result.is_ok() or result.err_value.kind not in _DENIALS:
--- a/medlarhollow/errors/responses.py
+++ b/medlarhollow/errors/responses.py
@@ -39,6 +39,7 @@
     ErrorKind.TOKENS_UNAVAILABLE: ErrorResponse(503, "not-run", True),
     ErrorKind.OVERLOADED: ErrorResponse(503, "not-run", True),
     ErrorKind.NO_BACKEND: ErrorResponse(503, "not-run", True),
+    ErrorKind.NO_REGION: ErrorResponse(503, "not-run"),
     ErrorKind.DEADLINE_EXCEEDED: ErrorResponse(504, "not-run"),
     ErrorKind.STALE_AUTHORITY: ErrorResponse(503, "not-run", True),
     ErrorKind.NOT_LEADER: ErrorResponse(503, "not-run", True),
--- a/medlarhollow/messages/records.py
+++ b/medlarhollow/messages/records.py
@@ -143,6 +143,7 @@
     WRONG_CLUSTER = 18
     TOO_LARGE = 19
     TOKENS_UNAVAILABLE = 20
+    NO_REGION = 21
 
 
 class Priority(enum.IntEnum):
--- a/medlarhollow/steering/assignment.py
+++ b/medlarhollow/steering/assignment.py
@@ -55,8 +55,8 @@
     affinity : str
         Key of the requested object, on routes whose servers respond faster
         for recently served objects; empty for none.
-    home_regions : frozenset of str
-        Regions whose servers may serve the request; empty for all.
+    home_regions : frozenset of str or None
+        Regions whose servers may serve the request; None for all.
     account_priority : Priority
         Priority of the account, which goes before that of the route.
     objective_at : float
@@ -71,7 +71,7 @@
     excluded: frozenset = frozenset()
     local_only: bool = False
     affinity: str = ""
-    home_regions: frozenset = frozenset()
+    home_regions: object = None
     account_priority: Priority = Priority.ORDINARY
     objective_at: float = attrs.field(
         default=attrs.Factory(lambda self: self.deadline_at, takes_self=True)
--- a/medlarhollow/steering/placement/placement.py
+++ b/medlarhollow/steering/placement/placement.py
@@ -58,24 +58,21 @@
             without an object, a server chosen by load, of the local region
             if possible. None if no allowed server is free.
         """
-        home_regions = frozenset()
-        if not slot_request.home_regions:
-            home_regions = self._bound_regions()
+        reserved = frozenset()
+        if slot_request.home_regions is None:
+            reserved = self._bound_regions()
         if slot_request.affinity:
-            return _choose_object_server(
-                candidates, slot_request, home_regions
-            )
+            return _choose_object_server(candidates, slot_request, reserved)
         allowed = candidates
-        if slot_request.excluded or slot_request.home_regions:
+        if slot_request.excluded or slot_request.home_regions is not None:
             allowed = [
                 candidate
                 for candidate in candidates
                 if is_allowed(candidate.view.server, slot_request)
             ]
-        if home_regions:
+        if reserved:
             allowed = [
-                _subtract_reserve(candidate, home_regions)
-                for candidate in allowed
+                _subtract_reserve(candidate, reserved) for candidate in allowed
             ]
         if self._is_fleet_wide:
             allowed = self._prefer_local_region(allowed)
@@ -154,24 +151,24 @@
     )
 
 
-def _choose_object_server(candidates, slot_request, home_regions):
+def _choose_object_server(candidates, slot_request, reserved):
     """Return the first free server of an object, or None."""
     for candidate in list_object_servers(candidates, slot_request):
-        if home_regions:
-            candidate = _subtract_reserve(candidate, home_regions)
+        if reserved:
+            candidate = _subtract_reserve(candidate, reserved)
         if candidate.free_slots > 0:
             return candidate
     return None
 
 
-def _subtract_reserve(candidate, home_regions):
+def _subtract_reserve(candidate, reserved):
     """Return a candidate without the reserve of its home region.
 
     Requests with home regions cannot use other servers, so the remaining
     requests, which can, must not fill these. All VMs share one reserve.
     """
     server = candidate.view.server
-    if candidate.free_slots <= 0 or server.region not in home_regions:
+    if candidate.free_slots <= 0 or server.region not in reserved:
         return candidate
     reserve = math.ceil(server.slots * _RESERVE_FRACTION)
     free = min(candidate.free_slots, candidate.unused_slots - reserve)
@@ -189,6 +186,6 @@
         Provides the excluded servers and the allowed regions.
     """
     return server.server_id not in slot_request.excluded and (
-        not slot_request.home_regions
+        slot_request.home_regions is None
         or server.region in slot_request.home_regions
     )
--- a/medlarhollow/steering/placement/rendezvous.py
+++ b/medlarhollow/steering/placement/rendezvous.py
@@ -87,9 +87,7 @@
         """Tuple of BackendServer : the pool."""
         return self._servers
 
-    def object_indexes(
-        self, key, home_regions=frozenset(), excluded=frozenset()
-    ):
+    def object_indexes(self, key, home_regions=None, excluded=frozenset()):
         """Return the pool indexes of the servers that cache an object.
 
         Parameters are those of :meth:`ranked_indexes`.
@@ -103,17 +101,15 @@
             :SERVERS_PER_OBJECT
         ]
 
-    def ranked_indexes(
-        self, key, home_regions=frozenset(), excluded=frozenset()
-    ):
+    def ranked_indexes(self, key, home_regions=None, excluded=frozenset()):
         """Return the ranking of an object as indexes into the pool.
 
         Parameters
         ----------
         key : str
             Identifier of the object.
-        home_regions : frozenset of str
-            Regions whose servers are allowed; empty for all.
+        home_regions : frozenset of str or None
+            Regions whose servers are allowed; None for all.
         excluded : frozenset of str
             Servers that are not allowed.
 
@@ -139,7 +135,7 @@
         best = []
         for index, server in enumerate(self._servers):
             if server.server_id in excluded or (
-                home_regions and server.region not in home_regions
+                home_regions is not None and server.region not in home_regions
             ):
                 continue
             score = _score(
--- a/medlarhollow/steering/regions/spill.py
+++ b/medlarhollow/steering/regions/spill.py
@@ -115,7 +115,14 @@
             Monotonic time in seconds.
         regions : set of str or None
             Regions of the credit; None for any.
+
+        Notes
+        -----
+        The home regions of the request bind in any case.
         """
+        homes = request.home_regions
+        if homes is not None:
+            regions = homes if regions is None else homes & regions
         spent = self._remote_credit.spend(
             pool.service, request.excluded, now, regions
         )
--- a/medlarhollow/steering/tests/test_placement.py
+++ b/medlarhollow/steering/tests/test_placement.py
@@ -309,3 +309,11 @@
         make_pool(servers), make_slot_request("x"), 0.0
     )
     assert chosen.view.server == expected
+
+
+def test_no_region_allows_no_server():
+    """Guards against an empty set of regions that is read as all regions."""
+    pool = make_pool([server_candidate("n1"), server_candidate("s1")])
+    for affinity in ("", "x"):
+        nowhere = make_slot_request(affinity, home_regions=frozenset())
+        assert make_placement().choose(pool, nowhere, 0.0) is None
--- a/medlarhollow/steering/tests/test_spillover.py
+++ b/medlarhollow/steering/tests/test_spillover.py
@@ -48,6 +48,18 @@
     assert (await near.acquire(2.0)).ok_value.remote
 
 
+async def test_requests_spill_over_within_their_home_regions(entry_vms):
+    """Guards data that must not leave its regions."""
+    near, far = entry_vms
+    far.announce("z", slots=5)
+    homes = frozenset({"south"})
+    spilled = (await near.acquire(2.0, home_regions=homes)).ok_value
+    assert spilled.remote
+    for homes in (frozenset({"north"}), frozenset()):
+        kept = await near.acquire(0.4, home_regions=homes)
+        assert kept.is_err()
+
+
 async def test_expired_credit_is_not_spent(entry_vms):
     """Guards the granting side against holders that cannot renew."""
     near, far = entry_vms
